--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := protocol core node cli standins
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test lint format docs clean
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements-dev.txt $(PACKAGES:%=-e packages/%)
+	touch $@
+
+demo: setup
+	$(BIN)/python -m damasksaddle_standins demo
+
+test: setup
+	$(BIN)/python -m pytest -n 6
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -0,0 +1,305 @@
+"""
+Every failure that damasksaddle reports, as one tree of types.
+
+A `Refusal` is an answer to a caller; it knows its HTTP status, whether the call
+ran, and when a retry makes sense. The other branches are for operators and for
+the system's own parts, and never reach a caller as they are.
+"""
+
+from enum import StrEnum
+
+
+class NotRun(StrEnum):
+    """Whether a refused call is known not to have run."""
+
+    YES = "true"
+    NO = "false"
+    UNKNOWN = "unknown"
+
+
+class DamasksaddleError(Exception):
+    """Base of all failures of this project."""
+
+
+class Refusal(DamasksaddleError):
+    """
+    A call that is answered with a problem instead of a result.
+
+    `code` names the problem in the API and on the wire between nodes;
+    `retry_after_s` is set where a retry makes sense.
+    """
+
+    code = "refused"
+    status = 500
+    title = "The request was refused."
+    not_run = NotRun.YES
+
+    def __init__(
+        self,
+        detail: str = "",
+        *,
+        not_run: NotRun | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(detail or self.title)
+        self.detail = detail or self.title
+        self.retry_after_s = retry_after_s
+        if not_run is not None:
+            self.not_run = not_run
+
+
+class BadRequest(Refusal):
+    code = "bad_request"
+    status = 400
+    title = "The request is malformed."
+
+
+class KeyRejected(Refusal):
+    code = "key_rejected"
+    status = 401
+    title = "The workspace key is missing, unknown or withdrawn."
+
+
+class RouteForbidden(Refusal):
+    code = "route_forbidden"
+    status = 403
+    title = "The workspace may not use this route."
+
+
+class RouteNotFound(Refusal):
+    code = "route_not_found"
+    status = 404
+    title = "No service document defines this route."
+
+
+class ProgramNotFound(Refusal):
+    code = "program_not_found"
+    status = 404
+    title = "The workspace has no such program."
+
+
+class ProgramEnded(Refusal):
+    code = "program_ended"
+    status = 409
+    title = "The program has ended."
+
+
+class HistoryMismatch(Refusal):
+    code = "history_mismatch"
+    status = 409
+    title = "The messages do not extend the program's history."
+
+
+class IdempotencyMismatch(Refusal):
+    code = "idempotency_mismatch"
+    status = 422
+    title = "The idempotency key was used with another body."
+
+
+class BodyTooLarge(Refusal):
+    code = "body_too_large"
+    status = 413
+    title = "The request body is too large."
+
+
+class BudgetExceeded(Refusal):
+    code = "budget_exceeded"
+    status = 402
+    title = "The program's budget does not cover this call."
+
+
+class TurnsExceeded(Refusal):
+    code = "turns_exceeded"
+    status = 409
+    title = "The program has used all of its turns."
+
+
+class HistoryTooLarge(Refusal):
+    code = "history_too_large"
+    status = 413
+    title = "The program's history is too large."
+
+
+class RateExceeded(Refusal):
+    code = "rate_exceeded"
+    status = 429
+    title = "The workspace is above its rate."
+
+
+class DeadlineExceeded(Refusal):
+    code = "deadline_exceeded"
+    status = 504
+    title = "The call's deadline passed."
+
+
+class NotFresh(Refusal):
+    code = "not_fresh"
+    status = 503
+    title = "This VM cannot prove that its keys and documents are current."
+
+
+class LeaseLapsed(Refusal):
+    code = "lease_lapsed"
+    status = 503
+    title = "This VM's lease has lapsed."
+
+
+class NotOwner(Refusal):
+    code = "not_owner"
+    status = 503
+    title = "Another VM owns this program now."
+
+
+class EpochStale(NotOwner):
+    code = "epoch_stale"
+    title = "The sender has not seen the latest change of the roster."
+
+
+class PartitionHeld(NotOwner):
+    """Another VM holds the partition; `detail` is its id."""
+
+    code = "partition_held"
+    title = "Another VM still holds this partition."
+
+
+class OwnerUnreachable(Refusal):
+    code = "owner_unreachable"
+    status = 503
+    title = "The VM that owns this program cannot be reached."
+
+
+class StoreUnavailable(Refusal):
+    code = "store_unavailable"
+    status = 503
+    title = "The platform's store cannot record this call."
+
+
+class UpstreamUnavailable(Refusal):
+    code = "upstream_unavailable"
+    status = 503
+    title = "No upstream can take this call."
+
+
+class UpstreamFailed(Refusal):
+    code = "upstream_failed"
+    status = 502
+    title = "The upstream failed while it ran the call."
+    not_run = NotRun.NO
+
+
+class FateUnknown(Refusal):
+    code = "fate_unknown"
+    status = 502
+    title = "It is not known whether the call ran; it will not be repeated."
+    not_run = NotRun.UNKNOWN
+
+
+class Stopping(Refusal):
+    code = "stopping"
+    status = 503
+    title = "This VM is shutting down."
+
+
+class ConfigError(DamasksaddleError):
+    """A document or setting that cannot be used."""
+
+
+class DocumentInvalid(ConfigError):
+    """A service document that fails validation; `problems` has one line each."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class SettingsInvalid(ConfigError):
+    """A flag or environment variable that cannot be used."""
+
+
+class VersionConflict(ConfigError):
+    """A change that was based on a version that is no longer in force."""
+
+    def __init__(self, name: str, expected: int, in_force: int) -> None:
+        super().__init__(
+            f"{name}: the change is based on version {expected}, "
+            f"but version {in_force} is in force"
+        )
+        self.expected = expected
+        self.in_force = in_force
+
+
+class KeyNotFound(ConfigError):
+    """No workspace key has this id."""
+
+
+class PlatformError(DamasksaddleError):
+    """A failure of the platform's table, object store or VM list."""
+
+
+class TableUnavailable(PlatformError):
+    """The table did not take the request; nothing was written."""
+
+
+class AnswerLost(PlatformError):
+    """The table's answer did not arrive; the write may have taken effect."""
+
+
+class RowTaken(PlatformError):
+    """A conditional write found another version of the row."""
+
+
+class ObjectMissing(PlatformError):
+    """The object store has no such object."""
+
+
+class PeerError(DamasksaddleError):
+    """A failure between two nodes."""
+
+
+class PeerUnreachable(PeerError):
+    """
+    The peer cannot be connected to, or the connection ended.
+
+    `sent` is False if the request had certainly not been handed to the connection.
+    """
+
+    def __init__(self, detail: str, *, sent: bool = True) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+class PeerTimeout(PeerError):
+    """The peer did not answer within the deadline."""
+
+
+class PeerRejected(PeerError):
+    """The peer did not prove that it belongs to this fleet."""
+
+
+class ProtocolViolation(PeerError):
+    """A frame that cannot be decoded or is too large."""
+
+
+class UpstreamError(DamasksaddleError):
+    """
+    A failure seen at an upstream; `sent` tells whether the call may have reached it.
+    """
+
+    def __init__(self, detail: str, *, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+def _refusals(base: type[Refusal]) -> dict[str, type[Refusal]]:
+    found = {base.code: base}
+    for child in base.__subclasses__():
+        found.update(_refusals(child))
+    return found
+
+
+def refusal_from_code(
+    code: str, detail: str, not_run: str, retry_after_s: float | None
+) -> Refusal:
+    """Rebuilds a refusal that another node reported."""
+    kind = _refusals(Refusal).get(code, Refusal)
+    return kind(detail, not_run=NotRun(not_run), retry_after_s=retry_after_s)
--- /dev/null
+++ b/packages/core/src/damasksaddle/platform/__init__.py
@@ -0,0 +1,25 @@
+"""Clients of what the platform gives: table, object store and VM list."""
+
+from damasksaddle.platform.http import HttpObjects, HttpTable, HttpVmList
+from damasksaddle.platform.interfaces import (
+    ListedVm,
+    Objects,
+    Put,
+    Row,
+    Table,
+    VmList,
+)
+from damasksaddle.platform.sequence import RowSequence
+
+__all__ = [
+    "HttpObjects",
+    "HttpTable",
+    "HttpVmList",
+    "ListedVm",
+    "Objects",
+    "Put",
+    "Row",
+    "RowSequence",
+    "Table",
+    "VmList",
+]
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node daemon of damasksaddle."""
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/__main__.py
@@ -0,0 +1,8 @@
+"""The node daemon, `damasksaddled`."""
+
+from damasksaddle_node.commands.serve import main
+
+__all__ = ["main"]
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the node daemon."""
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/commit/__init__.py
@@ -0,0 +1,14 @@
+"""Commit streams: durable records of many partitions, grouped into rows."""
+
+from damasksaddle_node.commit.client import CommitClient
+from damasksaddle_node.commit.committer import Committers
+from damasksaddle_node.commit.rows import Entry, EntryKind, StreamRow, load_row
+
+__all__ = [
+    "CommitClient",
+    "Committers",
+    "Entry",
+    "EntryKind",
+    "StreamRow",
+    "load_row",
+]
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -0,0 +1,263 @@
+"""
+Writes commit streams.
+
+A stream has one committer at a time, but its correctness does not rest on that:
+each position can be inserted once, and a committer that finds its next position
+taken reads on before it writes again.
+"""
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from damasksaddle.exceptions import (
+    EpochStale,
+    NotOwner,
+    PartitionHeld,
+    PlatformError,
+    Refusal,
+    StoreUnavailable,
+)
+from damasksaddle.platform import RowSequence, Table
+from damasksaddle.utils import get_log, new_id
+from damasksaddle_node.commit.rows import (
+    Entry,
+    EntryKind,
+    Holder,
+    StreamRow,
+    dump_row,
+    load_row,
+)
+from damasksaddle_node.fleet.log import FleetLog
+from damasksaddle_node.peers import Handlers, Sender
+from damasksaddle_node.settings import Timing
+from damasksaddle_protocol import Append, Appended
+
+log = get_log("commit")
+
+# Every n-th row carries the holders, so that a new committer reads at most n rows.
+HOLDERS_EVERY = 256
+MAX_ROW_BYTES = 1024 * 1024
+
+
+@dataclass(eq=False, slots=True)
+class _Item:
+    message: Append
+    sender: Sender
+    done: "asyncio.Future[int]" = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+    @property
+    def kind(self) -> EntryKind:
+        if self.message.opened_at == 0:
+            return EntryKind.OPENED
+        if not self.message.records:
+            return EntryKind.CLOSED
+        return EntryKind.RECORDS
+
+    @property
+    def size_bytes(self) -> int:
+        return sum(len(record) for record in self.message.records)
+
+    def entry(self) -> Entry:
+        return Entry(
+            self.message.partition,
+            self.message.vm_id,
+            self.kind,
+            self.message.records,
+        )
+
+    def fail(self, error: Refusal) -> None:
+        if not self.done.done():
+            self.done.set_exception(error)
+
+
+class _Stream:
+    """One stream while this VM writes it."""
+
+    def __init__(
+        self, vm_id: str, stream: int, table: Table, fleet: FleetLog, timing: Timing
+    ) -> None:
+        self.stream = stream
+        self.position: int | None = None
+        self.holders: dict[int, Holder] = {}
+        self.rows_written = 0
+        self._vm_id = vm_id
+        self._rows = RowSequence(table, f"stream/{stream}")
+        self._fleet = fleet
+        self._timing = timing
+        self._queue: list[_Item] = []
+        self._wake = asyncio.Event()
+
+    def add(self, item: _Item) -> None:
+        self._queue.append(item)
+        self._wake.set()
+
+    def is_mine(self) -> bool:
+        return self._fleet.state.owners.stream(self.stream) == self._vm_id
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            started_s = loop.time()
+            await self._commit_queue()
+            if self._queue:
+                self._wake.set()
+            spent_s = loop.time() - started_s
+            await asyncio.sleep(max(0.0, self._timing.commit_interval_s - spent_s))
+
+    async def _commit_queue(self) -> None:
+        if not self.is_mine():
+            self.position = None
+            self._fail_all(self._take_all(), NotOwner("not the committer"))
+            return
+        if self.position is None and not await self._load():
+            self._fail_all(self._take_all(), StoreUnavailable(retry_after_s=1.0))
+            return
+        batch = self._admit()
+        if batch:
+            await self._write(batch)
+
+    def _take_all(self) -> list[_Item]:
+        taken, self._queue = self._queue, []
+        return taken
+
+    def _fail_all(self, items: list[_Item], error: Refusal) -> None:
+        for item in items:
+            item.fail(error)
+
+    async def _load(self) -> bool:
+        try:
+            last = await self._rows.last_position(0)
+            checkpoint = last - last % HOLDERS_EVERY
+            self.holders = {}
+            await self._read_from(max(checkpoint - 1, 0))
+        except PlatformError as error:
+            log.warning("A stream cannot be read.", stream=self.stream, reason=error)
+            return False
+        log.info("Stream taken over.", stream=self.stream, position=self.position)
+        return True
+
+    async def _read_from(self, position: int) -> None:
+        while True:
+            rows = await self._rows.read_after(position)
+            if not rows:
+                break
+            for row in rows:
+                position = self._rows.position(row)
+                self._follow(position, load_row(row.value))
+        self.position = position
+
+    def _follow(self, position: int, row: StreamRow) -> None:
+        if row.holders is not None:
+            self.holders = dict(row.holders)
+        for entry in row.entries:
+            match entry.kind:
+                case EntryKind.OPENED:
+                    self.holders[entry.partition] = Holder(entry.vm_id, position)
+                case EntryKind.CLOSED:
+                    self.holders.pop(entry.partition, None)
+
+    def _admit(self) -> list[_Item]:
+        batch: list[_Item] = []
+        opened: set[int] = set()
+        size_bytes = 0
+        while self._queue and size_bytes < MAX_ROW_BYTES:
+            # Items for a partition that is opened or closed in this row must wait,
+            # because its holder changes with the row.
+            if self._queue[0].message.partition in opened:
+                break
+            item = self._queue.pop(0)
+            if item.done.done():
+                continue
+            try:
+                self._check(item)
+            except Refusal as error:
+                item.fail(error)
+                continue
+            if item.kind is not EntryKind.RECORDS:
+                opened.add(item.message.partition)
+            size_bytes += item.size_bytes
+            batch.append(item)
+        return batch
+
+    def _check(self, item: _Item) -> None:
+        """Raises `Refusal` unless the item's sender may append it."""
+        partition = item.message.partition
+        holder = self.holders.get(partition)
+        state = self._fleet.state
+        if item.kind is EntryKind.OPENED:
+            if item.sender.epoch != state.epoch:
+                raise EpochStale
+            if state.owners.partition(partition) != item.sender.vm_id:
+                raise NotOwner
+            if (
+                holder is not None
+                and holder.vm_id != item.sender.vm_id
+                and holder.vm_id in state.members
+            ):
+                raise PartitionHeld(holder.vm_id)
+        elif holder != Holder(item.sender.vm_id, item.message.opened_at):
+            raise NotOwner
+
+    async def _write(self, batch: list[_Item]) -> None:
+        assert self.position is not None
+        position = self.position + 1
+        holders = self.holders if position % HOLDERS_EVERY == 0 else None
+        entries = [item.entry() for item in batch]
+        row = StreamRow(self._vm_id, entries, holders)
+        try:
+            ours = await self._rows.insert_until_known(
+                position, dump_row(row), new_id("write")
+            )
+            if not ours:
+                await self._read_from(self.position)
+        except PlatformError as error:
+            log.warning("A row was not written.", stream=self.stream, reason=error)
+            self._fail_all(batch, StoreUnavailable(retry_after_s=1.0))
+            return
+        if not ours:
+            self._queue = batch + self._queue
+            return
+        self.position = position
+        self.rows_written += 1
+        self._follow(position, row)
+        for item in batch:
+            if not item.done.done():
+                item.done.set_result(position)
+
+
+class Committers:
+    """The streams of this VM: one task for each stream of the fleet."""
+
+    def __init__(
+        self, vm_id: str, streams: int, table: Table, fleet: FleetLog, timing: Timing
+    ) -> None:
+        self._fleet = fleet
+        self._timing = timing
+        self.streams = [
+            _Stream(vm_id, stream, table, fleet, timing) for stream in range(streams)
+        ]
+
+    def register(self, handlers: Handlers) -> None:
+        """Registers the handler of `Append`."""
+        handlers.add(Append, self.on_append)
+
+    async def on_append(self, message: Append, sender: Sender) -> Appended:
+        """Appends records of one partition; raises `Refusal` if not written."""
+        if sender.epoch > self._fleet.state.epoch:
+            await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
+        stream = self.streams[message.partition % len(self.streams)]
+        if not stream.is_mine():
+            raise NotOwner("not the committer")
+        item = _Item(message, sender)
+        stream.add(item)
+        return Appended(stream.stream, await item.done)
+
+    async def run(self) -> None:
+        """Runs all streams until cancelled."""
+        with suppress(asyncio.CancelledError):
+            await asyncio.gather(*(stream.run() for stream in self.streams))
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/dump.py
@@ -0,0 +1,78 @@
+"""A node's state as JSON, for operators. It holds no keys and no bodies."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from damasksaddle_node.node import Node
+
+
+def dump_state(node: Node) -> dict[str, Any]:
+    """Returns what a node knows and does."""
+    state = node.fleet.state
+    now_s = asyncio.get_running_loop().time()
+    return {
+        "vm": node.vm_id,
+        "failure_domain": node.settings.failure_domain,
+        "fleet": {
+            "cursor": state.cursor,
+            "epoch": state.epoch,
+            "members": sorted(state.members),
+            "documents": {name: v.version for name, v in state.documents.items()},
+            "keys": len(state.keys),
+        },
+        "lease": {
+            "left_s": round(node.lease.valid_until_s - now_s, 3),
+            "taken": node.lease.taken,
+        },
+        "freshness_age_s": round(node.freshness.age_s(), 3),
+        "calls": {
+            "entered": node.entry.open_calls,
+            "owned": [
+                {
+                    "call_id": run.call.call_id,
+                    "workspace": run.call.workspace,
+                    "program_id": run.call.program_id,
+                    "route": f"{run.call.service}/{run.call.route}",
+                }
+                for run in node.owner.runs
+            ],
+        },
+        "partitions": [
+            {
+                "partition": partition.number,
+                "opened_at": partition.opened_at,
+                "programs": len(partition.state.programs),
+                "running": partition.running,
+                "not_durable": len(partition.waiting),
+                "draining": partition.draining,
+            }
+            for partition in node.owner.partitions.values()
+        ],
+        "streams": [
+            {
+                "stream": stream.stream,
+                "position": stream.position,
+                "rows_written": stream.rows_written,
+            }
+            for stream in node.committers.streams
+            if stream.position is not None
+        ],
+        "pools": {
+            name: {
+                "queued": scheduler.queued,
+                "upstreams": {
+                    view.upstream.name: {
+                        "running": len(view.running),
+                        "leaving": view.leaving,
+                        "failures": view.failures,
+                        "first_token_ms": round(view.first_token_ms, 1),
+                    }
+                    for view in scheduler.view.upstreams.values()
+                },
+            }
+            for name, scheduler in node.schedulers.schedulers.items()
+        },
+    }
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/entry.py
@@ -0,0 +1,243 @@
+"""
+What an entry VM does with a call, apart from HTTP.
+
+It proves its freshness, checks the key, finds the route, and forwards the call to
+the owner of its program. A call keeps its id through all tries, so that a new owner
+recognises one that an earlier owner ran or was about to run.
+"""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from dataclasses import dataclass
+
+from damasksaddle.config import Repeat, Route, RouteKind
+from damasksaddle.exceptions import (
+    BadRequest,
+    FateUnknown,
+    KeyRejected,
+    LeaseLapsed,
+    NotFresh,
+    NotOwner,
+    NotRun,
+    OwnerUnreachable,
+    PeerError,
+    PeerUnreachable,
+    RouteForbidden,
+    RouteNotFound,
+    Stopping,
+)
+from damasksaddle.keys import secret_matches, split_key
+from damasksaddle.utils import digest_of, get_log, new_id, partition_of
+from damasksaddle_node.fleet.lease import Freshness
+from damasksaddle_node.fleet.log import FleetLog
+from damasksaddle_node.fleet.state import Key
+from damasksaddle_node.peers import PeerPool
+from damasksaddle_node.settings import Timing
+from damasksaddle_protocol import (
+    CallChunk,
+    CallEnd,
+    CallRequest,
+    ProgramAnswer,
+    ProgramQuery,
+)
+
+log = get_log("entry")
+
+RETRY_S = 0.2
+MS = 1000
+# How long an entry VM looks for a program's owner, in leases: the old lease must
+# run out, be noticed, and be removed.
+OWNER_WAIT_LEASES = 3
+OPEN_WORKSPACE = "open"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A caller's call, as it was read from HTTP."""
+
+    key: str
+    service: str
+    route: str
+    body: bytes
+    content_type: str = "application/json"
+    program_id: str = ""
+    idempotency_key: str = ""
+    budget_micros: int = -1
+    timeout_ms: int = 0
+    stream: bool = False
+    sealed: str = ""
+    history_mode: str = "append"
+
+
+class Entry:
+    """Admits callers' requests and forwards them to the owners of programs."""
+
+    def __init__(
+        self, fleet: FleetLog, freshness: Freshness, peers: PeerPool, timing: Timing
+    ) -> None:
+        self.open_calls = 0
+        self._fleet = fleet
+        self._freshness = freshness
+        self._peers = peers
+        self._timing = timing
+
+    def authenticate(self, text: str) -> Key:
+        """Returns the key that a caller presents; raises `KeyRejected`."""
+        self._freshness.check()
+        parts = split_key(text)
+        if parts is None:
+            raise KeyRejected
+        key = self._fleet.state.keys.get(parts[0])
+        if key is None or not secret_matches(parts[1], key.digest):
+            raise KeyRejected
+        if key.withdrawn_at_unix_s is not None:
+            raise KeyRejected("the key was withdrawn")
+        return key
+
+    def route(self, service: str, name: str) -> tuple[Route, RouteKind]:
+        """Returns a route and its kind; raises `RouteNotFound`."""
+        self._freshness.check()
+        document = self._fleet.state.document(service)
+        route = document.routes.get(name) if document else None
+        if document is None or route is None:
+            raise RouteNotFound(f"there is no route {service}/{name}")
+        return route, document.pools[route.pool].kind
+
+    async def call(
+        self, request: CallerRequest
+    ) -> AsyncGenerator[CallChunk | CallEnd, None]:
+        """Yields the answer to a caller's request; raises `Refusal`."""
+        route, _ = self.route(request.service, request.route)
+        call = self._call_request(request, route)
+        self.open_calls += 1
+        try:
+            async with aclosing(self._forward(call, route)) as answers:
+                async for answer in answers:
+                    yield answer
+        finally:
+            self.open_calls -= 1
+
+    def _call_request(self, request: CallerRequest, route: Route) -> CallRequest:
+        workspace, key_id = OPEN_WORKSPACE, ""
+        if not route.open:
+            key = self.authenticate(request.key)
+            workspace, key_id = key.workspace, key.key_id
+            if route.workspaces is not None and workspace not in route.workspaces:
+                raise RouteForbidden
+        program_id = request.program_id
+        if program_id:
+            check_program_id(program_id)
+        elif request.idempotency_key:
+            # Repeats of a single call must meet in one program.
+            name = f"{request.service}\0{request.route}\0{request.idempotency_key}"
+            program_id = f"single-{digest_of(name.encode())[:32]}"
+        else:
+            program_id = new_id("single")
+        return CallRequest(
+            call_id=new_id("call"),
+            workspace=workspace,
+            key_id=key_id,
+            service=request.service,
+            route=request.route,
+            program_id=program_id,
+            body=request.body,
+            idempotency_key=request.idempotency_key,
+            budget_micros=request.budget_micros,
+            stream=request.stream,
+            end_program=not request.program_id,
+            sealed=request.sealed,
+            content_type=request.content_type,
+            entry_vm=self._peers.vm_id,
+            history_mode=request.history_mode,
+            timeout_ms=request.timeout_ms,
+        )
+
+    async def _forward(
+        self, call: CallRequest, route: Route
+    ) -> AsyncGenerator[CallChunk | CallEnd, None]:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + OWNER_WAIT_LEASES * self._timing.lease_s
+        maybe_sent = False
+        while True:
+            answered = False
+            try:
+                owner = self._owner(call.workspace, call.program_id)
+                async with aclosing(self._peers.stream(owner, call)) as answers:
+                    async for answer in answers:
+                        answered = True
+                        yield answer  # type: ignore[misc]
+                return
+            except (NotOwner, LeaseLapsed, NotFresh, Stopping) as error:
+                problem: Exception = error
+            except PeerUnreachable as error:
+                maybe_sent = maybe_sent or error.sent
+                problem = error
+            except PeerError as error:
+                maybe_sent = True
+                problem = error
+            if answered:
+                raise FateUnknown("the answer was cut off by the failure of a VM")
+            if loop.time() + RETRY_S >= until_s:
+                unknown = maybe_sent and route.repeat is Repeat.NEVER
+                raise OwnerUnreachable(
+                    str(problem),
+                    not_run=NotRun.UNKNOWN if unknown or maybe_sent else NotRun.YES,
+                    retry_after_s=1.0,
+                )
+            self._freshness.check()
+            await asyncio.sleep(RETRY_S)
+
+    def _owner(self, workspace: str, program_id: str) -> str:
+        owner = self._fleet.state.owners.partition(partition_of(workspace, program_id))
+        if owner is None:
+            raise NotOwner("the fleet has no members")
+        return owner
+
+    async def query(self, key: str, program_id: str, action: str) -> bytes:
+        """Returns the JSON answer of a program's owner; raises `Refusal`."""
+        workspace = self.authenticate(key).workspace
+        check_program_id(program_id)
+        return await self.query_as_operator(workspace, program_id, action)
+
+    async def query_as_operator(
+        self, workspace: str, program_id: str, action: str
+    ) -> bytes:
+        """Queries a program of any workspace."""
+        owner = self._owner(workspace, program_id)
+        message = ProgramQuery(workspace, program_id, action)
+        return await self._query(owner, message)
+
+    async def list_programs(self, workspace: str) -> list[bytes]:
+        """Returns one JSON list per VM that can be reached."""
+        message = ProgramQuery(workspace, "", "list")
+        members = list(self._fleet.state.members)
+        answers = await asyncio.gather(
+            *(self._query(vm_id, message) for vm_id in members),
+            return_exceptions=True,
+        )
+        return [answer for answer in answers if isinstance(answer, bytes)]
+
+    async def _query(self, vm_id: str, message: ProgramQuery) -> bytes:
+        try:
+            answer = await self._peers.request(
+                vm_id, message, self._timing.peer_timeout_s
+            )
+        except PeerError as error:
+            raise OwnerUnreachable(str(error), retry_after_s=1.0) from error
+        assert isinstance(answer, ProgramAnswer)
+        return answer.body
+
+
+PROGRAM_ID_LENGTH = 128
+
+
+def check_program_id(program_id: str) -> None:
+    """Raises `BadRequest` unless a program id has the form `ROOT[/NAME]...`."""
+    parts = program_id.split("/")
+    good = len(program_id) <= PROGRAM_ID_LENGTH and all(
+        part and all(c.isascii() and (c.isalnum() or c in "-_.") for c in part)
+        for part in parts
+    )
+    if not good:
+        raise BadRequest("a program id has letters, digits, '-', '_', '.' and '/'")
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Roster, documents and keys: the fleet log and what depends on it."""
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/fleet/detector.py
@@ -0,0 +1,136 @@
+"""
+Removes members whose lease has run out.
+
+Each member has two watchers, preferably in other failure domains, that read its
+lease row. A row that did not change for longer than a lease makes the member
+suspected; a majority of the roster must agree before it is removed.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from damasksaddle.exceptions import (
+    PeerError,
+    Refusal,
+    RowTaken,
+    TableUnavailable,
+)
+from damasksaddle.platform import Put, Table
+from damasksaddle.utils import get_log, rendezvous
+from damasksaddle_node.fleet.lease import lease_key
+from damasksaddle_node.fleet.log import FleetLog
+from damasksaddle_node.fleet.records import FleetRecord, VmRemoved
+from damasksaddle_node.fleet.state import FleetState
+from damasksaddle_node.peers import PeerPool
+from damasksaddle_node.settings import Timing
+from damasksaddle_protocol import Release, Released
+
+log = get_log("fleet")
+
+WATCHERS = 2
+# Covers the drift between two VMs' clocks during one lease.
+CLOCK_MARGIN = 1.1
+
+
+class _Gone(Refusal):
+    """The member was removed meanwhile."""
+
+    code = "member_gone"
+
+
+@dataclass(slots=True)
+class _Seen:
+    version: int
+    since_s: float
+
+
+class FailureDetector:
+    """Watches the lease rows that fall to this VM."""
+
+    def __init__(
+        self, vm_id: str, table: Table, fleet: FleetLog, peers: PeerPool, timing: Timing
+    ) -> None:
+        self._vm_id = vm_id
+        self._table = table
+        self._fleet = fleet
+        self._peers = peers
+        self._timing = timing
+        self._seen: dict[str, _Seen] = {}
+        self.unlisted: set[str] = set()
+
+    def watched(self) -> list[str]:
+        """Returns the members that this VM watches."""
+        members = self._fleet.state.members
+        mine = []
+        for vm_id, member in members.items():
+            others = [other for other in members if other != vm_id]
+            ranked = rendezvous(f"watch/{vm_id}", others)
+            ranked.sort(
+                key=lambda other: members[other].failure_domain == member.failure_domain
+            )
+            if self._vm_id in ranked[:WATCHERS]:
+                mine.append(vm_id)
+        return mine
+
+    async def watch(self) -> None:
+        """Checks the watched rows three times per lease."""
+        while True:
+            await asyncio.sleep(self._timing.lease_s / 3)
+            watched = self.watched()
+            self._seen = {v: s for v, s in self._seen.items() if v in watched}
+            for vm_id in watched:
+                try:
+                    await self._check(vm_id)
+                except TableUnavailable as error:
+                    # Nothing is known about rows that could not be read.
+                    self._seen.clear()
+                    log.debug("A lease row cannot be read.", reason=error)
+                    break
+
+    async def _check(self, vm_id: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        row = await self._table.get(lease_key(vm_id))
+        if row is None:
+            return
+        seen = self._seen.get(vm_id)
+        if seen is None or seen.version != row.version:
+            answered_s = asyncio.get_running_loop().time()
+            self._seen[vm_id] = _Seen(row.version, answered_s)
+            return
+        if now_s - seen.since_s >= self._timing.lease_s * CLOCK_MARGIN:
+            await self._remove(vm_id, row.version)
+
+    async def _remove(self, vm_id: str, version: int) -> None:
+        log.warning("A member's lease has run out.", vm=vm_id)
+        if not await self._agreed(vm_id):
+            log.warning("No majority agrees to the removal.", vm=vm_id)
+            return
+
+        def check(state: FleetState) -> FleetRecord:
+            if vm_id not in state.members:
+                raise _Gone
+            return VmRemoved(vm_id, by=self._vm_id)
+
+        delete = Put(lease_key(vm_id), None, expected_version=version)
+        try:
+            await self._fleet.append(check, also=(delete,))
+            log.warning("A member was removed.", vm=vm_id)
+        except (RowTaken, _Gone):
+            self._seen.pop(vm_id, None)
+
+    async def _agreed(self, vm_id: str) -> bool:
+        members = [other for other in self._fleet.state.members if other != vm_id]
+        answers = await asyncio.gather(*(self._ask(other, vm_id) for other in members))
+        # The suspected member cannot vouch for itself, but its seat counts.
+        return sum(answers) >= self._fleet.state.majority()
+
+    async def _ask(self, other: str, vm_id: str) -> bool:
+        if other in self.unlisted:
+            return True
+        try:
+            answer = await self._peers.request(
+                other, Release(vm_id), self._timing.peer_timeout_s
+            )
+        except (PeerError, Refusal):
+            return False
+        return isinstance(answer, Released) and answer.granted
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/fleet/ownership.py
@@ -0,0 +1,40 @@
+"""Who owns what, computed from the roster by rendezvous hashing."""
+
+from collections.abc import Iterable
+
+from damasksaddle.utils import rendezvous
+
+
+class Owners:
+    """
+    Owners under one roster.
+
+    Answers are kept until the roster changes; at 390 members one costs about
+    0.2 ms, and a node asks for few of the possible keys.
+    """
+
+    def __init__(self, members: Iterable[str] = ()) -> None:
+        self._members = sorted(members)
+        self._known: dict[str, str | None] = {}
+
+    def _owner(self, key: str) -> str | None:
+        if key not in self._known:
+            ranked = rendezvous(key, self._members)
+            self._known[key] = ranked[0] if ranked else None
+        return self._known[key]
+
+    def partition(self, partition: int) -> str | None:
+        """Returns the VM that owns a partition's programs."""
+        return self._owner(f"partition/{partition}")
+
+    def workspace(self, workspace: str) -> str | None:
+        """Returns the VM that owns a workspace's bucket."""
+        return self._owner(f"workspace/{workspace}")
+
+    def stream(self, stream: int) -> str | None:
+        """Returns the committer of a stream."""
+        return self._owner(f"stream/{stream}")
+
+    def pool(self, pool: str) -> str | None:
+        """Returns the VM that schedules a pool, named `SERVICE/POOL`."""
+        return self._owner(f"pool/{pool}")
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/fleet/records.py
@@ -0,0 +1,99 @@
+"""Records of the fleet log."""
+
+from typing import Annotated, Literal
+
+from pydantic import Field, TypeAdapter
+from pydantic.dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class VmJoined:
+    """A VM became a member; addresses are `host:port`."""
+
+    vm_id: str
+    failure_domain: str
+    peer_address: str
+    http_url: str
+    kind: Literal["vm_joined"] = "vm_joined"
+
+
+@dataclass(frozen=True, slots=True)
+class VmLeaving:
+    """A VM gives up all ownership in a planned stop, and stays a member for now."""
+
+    vm_id: str
+    kind: Literal["vm_leaving"] = "vm_leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class VmLeft:
+    """A VM that holds nothing any more left in a planned stop."""
+
+    vm_id: str
+    kind: Literal["vm_left"] = "vm_left"
+
+
+@dataclass(frozen=True, slots=True)
+class VmRemoved:
+    """A VM was found to have failed; `by` is the watcher."""
+
+    vm_id: str
+    by: str
+    kind: Literal["vm_removed"] = "vm_removed"
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentApplied:
+    """A version of a service document; `text` is its YAML."""
+
+    service: str
+    version: int
+    text: str
+    operator: str
+    at_unix_s: int
+    kind: Literal["document_applied"] = "document_applied"
+
+
+@dataclass(frozen=True, slots=True)
+class KeyGiven:
+    """A workspace key was given; only its digest is kept."""
+
+    key_id: str
+    workspace: str
+    digest: str
+    operator: str
+    at_unix_s: int
+    kind: Literal["key_given"] = "key_given"
+
+
+@dataclass(frozen=True, slots=True)
+class KeyWithdrawn:
+    """A workspace key was withdrawn."""
+
+    key_id: str
+    operator: str
+    at_unix_s: int
+    kind: Literal["key_withdrawn"] = "key_withdrawn"
+
+
+FleetRecord = Annotated[
+    VmJoined
+    | VmLeaving
+    | VmLeft
+    | VmRemoved
+    | DocumentApplied
+    | KeyGiven
+    | KeyWithdrawn,
+    Field(discriminator="kind"),
+]
+_ADAPTER: TypeAdapter[FleetRecord] = TypeAdapter(FleetRecord)
+
+
+def dump_record(record: FleetRecord) -> str:
+    """Returns a record as JSON."""
+    return _ADAPTER.dump_json(record).decode()
+
+
+def load_record(text: str) -> FleetRecord:
+    """Returns the record of a JSON text."""
+    return _ADAPTER.validate_json(text)
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/http/admin.py
@@ -0,0 +1,280 @@
+"""The operators' interface: documents, keys and looking at the fleet."""
+
+import hmac
+import json
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import hdrs, web
+
+from damasksaddle.config import load_document
+from damasksaddle.exceptions import (
+    DocumentInvalid,
+    KeyNotFound,
+    KeyRejected,
+    PlatformError,
+    VersionConflict,
+)
+from damasksaddle.keys import make_key
+from damasksaddle.utils import PARTITIONS, get_log
+from damasksaddle_node.entry import Entry
+from damasksaddle_node.fleet.changes import ChangeAcceptance
+from damasksaddle_node.fleet.log import Check, FleetLog
+from damasksaddle_node.fleet.records import (
+    DocumentApplied,
+    FleetRecord,
+    KeyGiven,
+    KeyWithdrawn,
+)
+from damasksaddle_node.fleet.state import DocumentVersion, FleetState
+from damasksaddle_node.http.problems import refusals_as_problems
+
+log = get_log("admin")
+
+OPERATOR_HEADER = "X-Operator"
+
+
+class AdminApi:
+    """Handlers of the operators' HTTP interface."""
+
+    def __init__(
+        self,
+        fleet: FleetLog,
+        changes: ChangeAcceptance,
+        entry: Entry,
+        token: str,
+        dump: Callable[[], dict[str, Any]],
+    ) -> None:
+        self._fleet = fleet
+        self._changes = changes
+        self._entry = entry
+        self._token = token
+        self._dump = dump
+
+    def routes(self) -> list[web.RouteDef]:
+        """Returns the routes of this interface."""
+        return [
+            web.get("/admin/documents", self.list_documents),
+            web.get("/admin/documents/{service}", self.show_document),
+            web.get("/admin/documents/{service}/history", self.history),
+            web.put("/admin/documents/{service}", self.apply_document),
+            web.get("/admin/keys", self.list_keys),
+            web.post("/admin/keys", self.give_key),
+            web.delete("/admin/keys/{key_id}", self.withdraw_key),
+            web.get("/admin/vms", self.list_vms),
+            web.get("/admin/upstreams", self.list_upstreams),
+            web.get("/admin/partitions", self.list_partitions),
+            web.get("/admin/programs", self.list_programs),
+            web.get("/admin/programs/{workspace}/{program_id:.+}", self.explain),
+            web.get("/admin/dump", self.dump),
+        ]
+
+    @web.middleware
+    async def only_operators(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Lets requests through that carry the operators' token."""
+        _, _, token = request.headers.get(hdrs.AUTHORIZATION, "").partition(" ")
+        if not self._token or not hmac.compare_digest(
+            token.encode(), self._token.encode()
+        ):
+            raise KeyRejected("the operator token is missing or wrong")
+        return await handler(request)
+
+    async def list_documents(self, request: web.Request) -> web.Response:
+        documents = self._fleet.state.documents.items()
+        return web.json_response(
+            [_version(service, version) for service, version in documents]
+        )
+
+    async def show_document(self, request: web.Request) -> web.Response:
+        service = request.match_info["service"]
+        versions = self._fleet.state.history.get(service, [])
+        wanted = request.query.get("version")
+        for version in versions if wanted else versions[-1:]:
+            if not wanted or str(version.version) == wanted:
+                body = {**_version(service, version), "text": version.text}
+                return web.json_response(body)
+        return _error(404, "document_not_found", f"there is no document {service}")
+
+    async def history(self, request: web.Request) -> web.Response:
+        service = request.match_info["service"]
+        versions = self._fleet.state.history.get(service, [])
+        return web.json_response([_version(service, version) for version in versions])
+
+    async def apply_document(self, request: web.Request) -> web.Response:
+        service = request.match_info["service"]
+        text = await request.text()
+        operator = request.headers.get(OPERATOR_HEADER, "unknown")
+        expected = int(request.query.get("expected_version", "-1"))
+
+        def check(state: FleetState) -> FleetRecord:
+            document = load_document(text)
+            if document.service != service:
+                raise DocumentInvalid(
+                    [f"line 1: service: the document is for {document.service}"]
+                )
+            in_force = state.documents.get(service)
+            version = in_force.version if in_force else 0
+            if expected >= 0 and expected != version:
+                raise VersionConflict(service, expected, version)
+            _check_workspaces(state, service, set(document.workspaces))
+            return DocumentApplied(
+                service, version + 1, text, operator, int(time.time())
+            )
+
+        return await self._change(check)
+
+    async def _change(
+        self, check: Check, extra: dict[str, Any] | None = None
+    ) -> web.Response:
+        try:
+            position = await self._fleet.append(check)
+        except DocumentInvalid as error:
+            return _error(422, "document_invalid", str(error), error.problems)
+        except VersionConflict as error:
+            return _error(409, "version_conflict", str(error))
+        except KeyNotFound as error:
+            return _error(404, "key_not_found", str(error))
+        except PlatformError as error:
+            return _error(503, "not_recorded", f"nothing was recorded: {error}")
+        missing = await self._changes.confirm(position)
+        body = {
+            "position": position,
+            "accepted": missing is None,
+            "not_confirmed_by": missing or [],
+            **(extra or {}),
+        }
+        return web.json_response(body, status=200 if missing is None else 202)
+
+    async def list_keys(self, request: web.Request) -> web.Response:
+        workspace = request.query.get("workspace", "")
+        return web.json_response(
+            [
+                {
+                    "key_id": key.key_id,
+                    "workspace": key.workspace,
+                    "given_at_unix_s": key.given_at_unix_s,
+                    "withdrawn_at_unix_s": key.withdrawn_at_unix_s,
+                }
+                for key in self._fleet.state.keys.values()
+                if workspace in ("", key.workspace)
+            ]
+        )
+
+    async def give_key(self, request: web.Request) -> web.Response:
+        workspace = str((await request.json()).get("workspace", ""))
+        operator = request.headers.get(OPERATOR_HEADER, "unknown")
+        key = make_key()
+
+        def check(state: FleetState) -> FleetRecord:
+            if state.workspace(workspace) is None:
+                raise KeyNotFound(f"no document declares workspace {workspace!r}")
+            return KeyGiven(
+                key.key_id, workspace, key.digest, operator, int(time.time())
+            )
+
+        shown = {"key": key.text, "key_id": key.key_id, "workspace": workspace}
+        return await self._change(check, shown)
+
+    async def withdraw_key(self, request: web.Request) -> web.Response:
+        key_id = request.match_info["key_id"]
+        operator = request.headers.get(OPERATOR_HEADER, "unknown")
+
+        def check(state: FleetState) -> FleetRecord:
+            if key_id not in state.keys:
+                raise KeyNotFound(f"there is no key {key_id}")
+            return KeyWithdrawn(key_id, operator, int(time.time()))
+
+        return await self._change(check, {"key_id": key_id})
+
+    async def list_vms(self, request: web.Request) -> web.Response:
+        state = self._fleet.state
+        return web.json_response(
+            [
+                {
+                    "vm": member.vm_id,
+                    "failure_domain": member.failure_domain,
+                    "http_url": member.http_url,
+                    "peer_address": member.peer_address,
+                    "leaving": member.leaving,
+                }
+                for member in state.members.values()
+            ]
+        )
+
+    async def list_upstreams(self, request: web.Request) -> web.Response:
+        state = self._fleet.state
+        return web.json_response(
+            [
+                {
+                    "service": service,
+                    "pool": name,
+                    "scheduler": state.owners.pool(f"{service}/{name}"),
+                    **upstream.model_dump(),
+                }
+                for service, version in state.documents.items()
+                for name, pool in version.document.pools.items()
+                for upstream in pool.upstreams
+            ]
+        )
+
+    async def list_partitions(self, request: web.Request) -> web.Response:
+        owners = self._fleet.state.owners
+        return web.json_response(
+            [{"partition": n, "owner": owners.partition(n)} for n in range(PARTITIONS)]
+        )
+
+    async def list_programs(self, request: web.Request) -> web.Response:
+        lists = await self._entry.list_programs(request.query.get("workspace", ""))
+        return web.json_response([item for text in lists for item in json.loads(text)])
+
+    async def explain(self, request: web.Request) -> web.Response:
+        body = await self._entry.query_as_operator(
+            request.match_info["workspace"],
+            request.match_info["program_id"],
+            "explain",
+        )
+        return web.Response(body=body, content_type="application/json")
+
+    async def dump(self, request: web.Request) -> web.Response:
+        return web.json_response(self._dump())
+
+
+def _version(service: str, version: DocumentVersion) -> dict[str, Any]:
+    return {
+        "service": service,
+        "version": version.version,
+        "operator": version.operator,
+        "at_unix_s": version.at_unix_s,
+    }
+
+
+def _check_workspaces(state: FleetState, service: str, names: set[str]) -> None:
+    """Raises `DocumentInvalid` if another document declares a workspace."""
+    for other, version in state.documents.items():
+        both = names & set(version.document.workspaces)
+        if other != service and both:
+            raise DocumentInvalid(
+                [
+                    f"line 1: workspaces: {name} is declared by {other}"
+                    for name in sorted(both)
+                ]
+            )
+
+
+def _error(
+    status: int, code: str, detail: str, problems: list[str] | None = None
+) -> web.Response:
+    body = {"code": code, "detail": detail, "problems": problems or []}
+    return web.json_response(body, status=status)
+
+
+def admin_app(api: AdminApi) -> web.Application:
+    """Returns the operators' application."""
+    app = web.Application(middlewares=[refusals_as_problems, api.only_operators])
+    app.add_routes(api.routes())
+    return app
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/limits/limiter.py
@@ -0,0 +1,200 @@
+"""Asks a workspace's owner for admission, and answers as the owner."""
+
+import asyncio
+from collections.abc import Callable
+
+from damasksaddle.exceptions import (
+    EpochStale,
+    NotOwner,
+    OwnerUnreachable,
+    PeerError,
+    RateExceeded,
+    RouteForbidden,
+)
+from damasksaddle.utils import get_log
+from damasksaddle_node.fleet.log import FleetLog
+from damasksaddle_node.fleet.records import FleetRecord
+from damasksaddle_node.limits.bucket import Bucket
+from damasksaddle_node.peers import Handlers, PeerPool, Sender
+from damasksaddle_node.settings import Timing
+from damasksaddle_protocol import (
+    Acquire,
+    Acquired,
+    BucketHandover,
+    BucketLevel,
+)
+
+log = get_log("limits")
+
+RETRY_S = 0.1
+MS = 1000
+
+
+class Limiter:
+    """
+    Admission of requests by workspace.
+
+    `guard` raises a `Refusal` unless this VM's lease and freshness hold.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetLog,
+        peers: PeerPool,
+        timing: Timing,
+        guard: Callable[[], None],
+    ) -> None:
+        self._fleet = fleet
+        self._peers = peers
+        self._timing = timing
+        self._guard = guard
+        self._buckets: dict[str, Bucket] = {}
+        self._opening: dict[str, asyncio.Lock] = {}
+        self._owned_since_s: dict[str, float] = {}
+        self._former_owner: dict[str, str] = {}
+        self._retired_levels: dict[str, float] = {}
+        self._declared: set[str] = set()
+        self._never_granted: set[str] = set()
+        fleet.listen(self._on_record)
+
+    def register(self, handlers: Handlers) -> None:
+        """Registers the handlers of `Acquire` and `BucketHandover`."""
+        handlers.add(Acquire, self.on_acquire)
+        handlers.add(BucketHandover, self.on_handover)
+
+    async def acquire(self, workspace: str) -> float:
+        """
+        Returns after how many seconds one request of a workspace was admitted.
+
+        Raises `RateExceeded` or `OwnerUnreachable`; the request has then not run.
+        """
+        limits = self._fleet.state.workspace(workspace)
+        if limits is None:
+            raise RouteForbidden(f"no document declares workspace {workspace}")
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        until_s = started_s + limits.max_wait_ms / MS
+        while True:
+            left_s = max(0.0, until_s - loop.time())
+            try:
+                await self._ask(workspace, left_s)
+                return loop.time() - started_s
+            except (PeerError, NotOwner) as error:
+                # The owner has failed or changed; its successor is found in the
+                # roster as soon as the removal is applied.
+                if loop.time() + RETRY_S >= until_s:
+                    raise OwnerUnreachable(str(error), retry_after_s=1.0) from error
+            await asyncio.sleep(RETRY_S)
+
+    async def _ask(self, workspace: str, left_s: float) -> None:
+        owner = self._fleet.state.owners.workspace(workspace)
+        if owner is None:
+            raise OwnerUnreachable("the fleet has no members")
+        message = Acquire(workspace, int(left_s * MS))
+        await self._peers.request(owner, message, left_s + self._timing.peer_timeout_s)
+
+    async def on_acquire(self, message: Acquire, sender: Sender) -> Acquired:
+        """Admits one request at the owner; raises `RateExceeded` or `NotOwner`."""
+        started_s = asyncio.get_running_loop().time()
+        if sender.epoch > self._fleet.state.epoch:
+            await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
+        self._check_owner(message.workspace)
+        bucket = await self._bucket(message.workspace)
+        await bucket.acquire(message.max_wait_ms / MS)
+        waited_s = asyncio.get_running_loop().time() - started_s
+        return Acquired(int(waited_s * MS))
+
+    def _check_owner(self, workspace: str) -> None:
+        if self._fleet.state.owners.workspace(workspace) != self._peers.vm_id:
+            raise NotOwner(f"not the owner of workspace {workspace}")
+
+    async def _bucket(self, workspace: str) -> Bucket:
+        async with self._opening.setdefault(workspace, asyncio.Lock()):
+            limits = self._fleet.state.workspace(workspace)
+            if limits is None:
+                raise RateExceeded(f"no document declares workspace {workspace}")
+            bucket = self._buckets.get(workspace)
+            if bucket is None:
+                bucket = await self._open(workspace, limits.rate_per_s, limits.burst)
+                self._check_owner(workspace)
+                self._buckets[workspace] = bucket
+            elif (bucket.rate_per_s, bucket.burst) != (
+                limits.rate_per_s,
+                limits.burst,
+            ):
+                bucket.set_limits(limits.rate_per_s, limits.burst)
+            return bucket
+
+    async def _open(self, workspace: str, rate_per_s: float, burst: int) -> Bucket:
+        """
+        Opens a bucket.
+
+        A newly declared workspace starts with its whole burst. With a handover the
+        bucket starts at the former owner's level; otherwise it starts empty, once
+        no former owner can admit any more.
+        """
+        loop = asyncio.get_running_loop()
+        if workspace in self._never_granted:
+            self._never_granted.discard(workspace)
+            return Bucket(rate_per_s, burst, burst, loop.time(), self._guard)
+        level = await self._level_of_former(workspace)
+        if level is not None:
+            return Bucket(rate_per_s, burst, level, loop.time(), self._guard)
+        start_s = self._owned_since_s.get(workspace, loop.time())
+        start_s += self._timing.freshness_s
+        return Bucket(rate_per_s, burst, 0.0, start_s, self._guard)
+
+    async def _level_of_former(self, workspace: str) -> float | None:
+        former = self._former_owner.get(workspace)
+        if former is None or former not in self._fleet.state.members:
+            return None
+        try:
+            answer = await self._peers.request(
+                former, BucketHandover(workspace), self._timing.peer_timeout_s
+            )
+        except (PeerError, EpochStale, NotOwner):
+            return None
+        if isinstance(answer, BucketLevel) and answer.level >= 0:
+            return answer.level
+        return None
+
+    async def on_handover(self, message: BucketHandover, sender: Sender) -> BucketLevel:
+        """Stops granting for a workspace and returns what is left."""
+        if sender.epoch > self._fleet.state.epoch:
+            await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
+        if self._fleet.state.owners.workspace(message.workspace) == self._peers.vm_id:
+            raise EpochStale
+        return BucketLevel(self._retired_levels.pop(message.workspace, -1.0))
+
+    def _on_record(self, record: FleetRecord) -> None:
+        """Notes which workspaces this VM gained with a change of the roster."""
+        if not record.kind.startswith("vm_") and record.kind != "document_applied":
+            return
+        now_s = asyncio.get_running_loop().time()
+        state = self._fleet.state
+        names = {
+            name
+            for version in state.documents.values()
+            for name in version.document.workspaces
+        }
+        for name in names:
+            owner = state.owners.workspace(name)
+            if owner == self._peers.vm_id:
+                if name not in self._declared:
+                    self._never_granted.add(name)
+                self._owned_since_s.setdefault(name, now_s)
+                self._retired_levels.pop(name, None)
+            else:
+                self._retire(name)
+                if owner is not None:
+                    self._former_owner[name] = owner
+        self._declared |= names
+
+    def _retire(self, workspace: str) -> None:
+        """Stops granting for a workspace that this VM does not own any more."""
+        self._owned_since_s.pop(workspace, None)
+        self._never_granted.discard(workspace)
+        bucket = self._buckets.pop(workspace, None)
+        if bucket is not None:
+            self._retired_levels[workspace] = bucket.level()
+            bucket.close(NotOwner())
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -0,0 +1,249 @@
+"""One node: wires the parts together and runs them as a `mode` service."""
+
+import asyncio
+import secrets
+from contextlib import suppress
+
+from aiohttp import web
+from mode import Service
+
+from damasksaddle.exceptions import NotFresh, NotRun, PlatformError, Stopping
+from damasksaddle.platform import Objects, Table, VmList
+from damasksaddle.utils import get_log
+from damasksaddle_node.commit import CommitClient, Committers
+from damasksaddle_node.dump import dump_state
+from damasksaddle_node.entry import Entry
+from damasksaddle_node.fleet.changes import ChangeAcceptance
+from damasksaddle_node.fleet.detector import FailureDetector
+from damasksaddle_node.fleet.lease import Freshness, Lease
+from damasksaddle_node.fleet.log import FleetLog
+from damasksaddle_node.fleet.records import VmJoined, VmLeaving, VmLeft
+from damasksaddle_node.fleet.vouching import Vouching
+from damasksaddle_node.http.admin import AdminApi, admin_app
+from damasksaddle_node.http.app import CallerApi, caller_app
+from damasksaddle_node.limits import Limiter
+from damasksaddle_node.peers import Handlers, Network, PeerPool, PeerServer
+from damasksaddle_node.pools import PoolClient, PoolSchedulers
+from damasksaddle_node.programs import ProgramOwner
+from damasksaddle_node.programs.run import Services
+from damasksaddle_node.programs.sealed import Sealer
+from damasksaddle_node.settings import Settings
+from damasksaddle_node.upstreams import Upstreams
+
+log = get_log("node")
+
+JOIN_RETRY_S = 0.5
+BOOT_NONCE_BYTES = 4
+
+
+class Node(Service):
+    """
+    One VM of the fleet.
+
+    `removed` is set when other VMs took this one out of the roster; the process
+    then ends, so that its supervisor starts it as a new member.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        table: Table,
+        objects: Objects,
+        vm_list: VmList,
+        upstreams: Upstreams,
+        network: Network,
+        http: bool = True,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.vm_id = f"{settings.name}-{secrets.token_hex(BOOT_NONCE_BYTES)}"
+        self.removed = asyncio.Event()
+        self.http_url = ""
+        self.admin_url = ""
+        self._http = http
+        self._table = table
+        self._runners: list[web.AppRunner] = []
+        timing = settings.timing
+        self.fleet = FleetLog(table, timing.poll_s)
+        self.handlers = Handlers()
+        self.server = PeerServer(
+            self.vm_id, settings.fleet_secret, network, self.handlers, self._epoch
+        )
+        self.peers = PeerPool(
+            self.vm_id,
+            settings.fleet_secret,
+            network,
+            self.handlers,
+            self._address_of,
+            self._epoch,
+            timing.connect_timeout_s,
+        )
+        self.lease = Lease(self.vm_id, table, timing)
+        self.freshness = Freshness(self.fleet, timing)
+        self.vouching = Vouching(
+            self.fleet, self.lease, self.freshness, self.peers, timing
+        )
+        self.detector = FailureDetector(
+            self.vm_id, table, self.fleet, self.peers, timing
+        )
+        self.changes = ChangeAcceptance(self.fleet, self.peers, timing)
+        self.limiter = Limiter(self.fleet, self.peers, timing, self.guard)
+        self.committers = Committers(
+            self.vm_id, settings.streams, table, self.fleet, timing
+        )
+        self.schedulers = PoolSchedulers(self.vm_id, self.fleet)
+        self.owner = ProgramOwner(
+            Services(
+                settings,
+                self.fleet,
+                self.limiter,
+                PoolClient(self.fleet, self.peers),
+                upstreams,
+                Sealer(settings.fleet_secret),
+                self.guard,
+            ),
+            self.peers,
+            CommitClient(table, self.fleet, self.peers, settings.streams, timing),
+        )
+        self.entry = Entry(self.fleet, self.freshness, self.peers, timing)
+        for part in (
+            self.vouching,
+            self.changes,
+            self.limiter,
+            self.committers,
+            self.schedulers,
+            self.owner,
+        ):
+            part.register(self.handlers)
+
+    def _epoch(self) -> int:
+        return self.fleet.state.epoch
+
+    def _address_of(self, vm_id: str) -> str | None:
+        member = self.fleet.state.members.get(vm_id)
+        return member.peer_address if member else None
+
+    def guard(self) -> None:
+        """Raises a `Refusal` unless this VM may act towards the outside now."""
+        self.lease.check()
+        self.freshness.check()
+
+    async def on_start(self) -> None:
+        """Listens, joins the fleet, and starts the parts."""
+        settings = self.settings
+        await self.server.start(settings.peer_host, settings.peer_port)
+        if self._http:
+            await self._start_http()
+        await self._join()
+        for part in (
+            self.fleet.tail(),
+            self.lease.keep(),
+            self.vouching.keep(),
+            self.detector.watch(),
+            self.committers.run(),
+            self.schedulers.tick(),
+            self.owner.release_ended(),
+            self._watch_freshness(),
+            self._watch_membership(),
+        ):
+            # A part that fails ends the node: half a node must not go on.
+            self.add_future(part)
+
+    async def _start_http(self) -> None:
+        settings = self.settings
+        api = CallerApi(self.entry, self.fleet, self.freshness, settings)
+        app = caller_app(api, settings.max_body_bytes)
+        self.http_url = await self._listen(app, settings.http_host, settings.http_port)
+        admin = AdminApi(
+            self.fleet,
+            self.changes,
+            self.entry,
+            settings.operator_token,
+            lambda: dump_state(self),
+        )
+        self.admin_url = await self._listen(
+            admin_app(admin), settings.admin_host, settings.admin_port
+        )
+
+    async def _listen(self, app: web.Application, host: str, port: int) -> str:
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await runner.setup()
+        self._runners.append(runner)
+        site = web.TCPSite(runner, host, port)
+        await site.start()
+        bound_host, bound_port = runner.addresses[0][:2]
+        return f"http://{bound_host}:{bound_port}"
+
+    async def _join(self) -> None:
+        loop = asyncio.get_running_loop()
+        joined = VmJoined(
+            self.vm_id,
+            self.settings.failure_domain,
+            self.server.address,
+            self.http_url or f"http://{self.vm_id}",
+        )
+        while True:
+            started_s = loop.time()
+            try:
+                await self.fleet.append(
+                    lambda state: joined, also=(self.lease.first_put(),)
+                )
+                break
+            except PlatformError as error:
+                log.warning("The fleet cannot be joined yet.", reason=error)
+                await asyncio.sleep(JOIN_RETRY_S)
+        self.lease.joined(started_s)
+        while self.vm_id not in self.fleet.state.members:
+            with suppress(PlatformError):
+                await self.fleet.catch_up()
+            await asyncio.sleep(0)
+        log.info("Joined the fleet.", vm=self.vm_id, epoch=self._epoch())
+
+    async def _watch_freshness(self) -> None:
+        """Ends open streams once this VM can no longer prove that it is current."""
+        timing = self.settings.timing
+        while True:
+            await asyncio.sleep(timing.freshness_s / 6)
+            if self.freshness.age_s() > timing.stream_grace_s:
+                self.owner.stop_all(NotFresh(not_run=NotRun.NO))
+
+    async def _watch_membership(self) -> None:
+        """Notices that this VM was removed from the roster."""
+        while True:
+            await asyncio.sleep(self.settings.timing.poll_s / 4)
+            if self.lease.taken or self.vm_id not in self.fleet.state.members:
+                self.lease.lose()
+                self.owner.stop_all(Stopping(not_run=NotRun.UNKNOWN))
+                log.error("This VM was removed from the fleet.", vm=self.vm_id)
+                self.removed.set()
+                return
+
+    async def leave(self) -> None:
+        """
+        Leaves the fleet without cutting a request.
+
+        Ownership moves first; this VM then serves and forwards until callers no
+        longer use its address.
+        """
+        timing = self.settings.timing
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + timing.stop_timeout_s
+        log.info("Leaving the fleet.", vm=self.vm_id)
+        position = await self.fleet.append(lambda state: VmLeaving(self.vm_id))
+        await self.changes.confirm(position)
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(until_s):
+                await self.owner.close_all()
+                await asyncio.sleep(timing.hold_s)
+                while self.entry.open_calls or self.owner.runs:
+                    await asyncio.sleep(0.05)
+        with suppress(PlatformError):
+            await self.fleet.append(lambda state: VmLeft(self.vm_id))
+        log.info("Left the fleet.", vm=self.vm_id)
+
+    async def on_stop(self) -> None:
+        """Stops all parts at once; `leave` comes before it in a planned stop."""
+        for runner in self._runners:
+            await runner.cleanup()
+        self.peers.close()
+        await self.server.stop()
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/peers/network.py
@@ -0,0 +1,48 @@
+"""How connections to peers are opened and accepted."""
+
+import asyncio
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from damasksaddle_protocol import Writer
+
+Accept = Callable[[asyncio.StreamReader, Writer], Awaitable[None]]
+Close = Callable[[], Awaitable[None]]
+
+
+class Network(Protocol):
+    """Opens and accepts byte streams; tests use one in memory."""
+
+    async def dial(self, address: str) -> tuple[asyncio.StreamReader, Writer]:
+        """Connects to `host:port`; raises `OSError`."""
+        ...
+
+    async def listen(self, host: str, port: int, accept: Accept) -> tuple[str, Close]:
+        """Returns the address that is listened on, and how to stop."""
+        ...
+
+
+class TcpNetwork:
+    """TCP, with TLS if contexts are given."""
+
+    def __init__(
+        self,
+        server_tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._server_tls = server_tls
+        self._client_tls = client_tls
+
+    async def dial(self, address: str) -> tuple[asyncio.StreamReader, Writer]:
+        host, _, port = address.rpartition(":")
+        return await asyncio.open_connection(host, int(port), ssl=self._client_tls)
+
+    async def listen(self, host: str, port: int, accept: Accept) -> tuple[str, Close]:
+        server = await asyncio.start_server(accept, host, port, ssl=self._server_tls)
+        bound_host, bound_port = server.sockets[0].getsockname()[:2]
+
+        async def close() -> None:
+            server.close()
+
+        return f"{bound_host}:{bound_port}", close
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -0,0 +1,387 @@
+"""The programs that this VM owns."""
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from dataclasses import asdict
+from typing import Any
+
+from damasksaddle.exceptions import (
+    EpochStale,
+    FateUnknown,
+    KeyRejected,
+    NotOwner,
+    NotRun,
+    OwnerUnreachable,
+    PartitionHeld,
+    PeerError,
+    PlatformError,
+    ProgramEnded,
+    ProgramNotFound,
+    Refusal,
+    RouteNotFound,
+    Stopping,
+    StoreUnavailable,
+    UpstreamError,
+)
+from damasksaddle.utils import get_log, new_id, partition_of
+from damasksaddle_node.commit import CommitClient
+from damasksaddle_node.fleet.records import FleetRecord, KeyWithdrawn
+from damasksaddle_node.peers import Handlers, PeerPool, Sender
+from damasksaddle_node.programs.partition import Partition
+from damasksaddle_node.programs.records import (
+    CallFinished,
+    CallIntended,
+    EngineReleased,
+    Outcome,
+    ProgramFinished,
+    ProgramStarted,
+    Trace,
+    load_program_record,
+)
+from damasksaddle_node.programs.run import CallRun, Services
+from damasksaddle_node.programs.state import PartitionState, Program, root_of
+from damasksaddle_protocol import (
+    CallChunk,
+    CallEnd,
+    CallRequest,
+    Handover,
+    Ok,
+    ProgramAnswer,
+    ProgramQuery,
+)
+
+log = get_log("programs")
+
+OPEN_RETRY_S = 0.1
+OPEN_TRIES = 20
+HANDOVER_TIMEOUT_S = 120.0
+RELEASE_PERIOD_S = 1.0
+
+
+class ProgramOwner:
+    """Runs the calls of the programs in the partitions that this VM owns."""
+
+    def __init__(
+        self, services: Services, peers: PeerPool, commits: CommitClient
+    ) -> None:
+        self.partitions: dict[int, Partition] = {}
+        self.runs: set[CallRun] = set()
+        self._services = services
+        self._fleet = services.fleet
+        self._peers = peers
+        self._commits = commits
+        self._opening: dict[int, asyncio.Lock] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        services.fleet.listen(self._on_record)
+
+    def register(self, handlers: Handlers) -> None:
+        """Registers the handlers of calls, queries and handovers."""
+        handlers.add_stream(CallRequest, self.on_call)
+        handlers.add(ProgramQuery, self.on_query)
+        handlers.add(Handover, self.on_handover)
+
+    # Calls.
+
+    async def on_call(
+        self, call: CallRequest, sender: Sender
+    ) -> AsyncGenerator[CallChunk | CallEnd, None]:
+        """Yields the answer of a call; raises `Refusal`."""
+        if sender.epoch > self._fleet.state.epoch:
+            await self._fleet.wait_for(
+                sender.epoch, self._services.settings.timing.peer_timeout_s
+            )
+        self._services.guard()
+        route = self._fleet.state.route(call.service, call.route)
+        document = self._fleet.state.document(call.service)
+        if route is None or document is None:
+            raise RouteNotFound(f"{call.service}/{call.route}")
+        partition = await self.partition(call.workspace, call.program_id)
+        program = self._program(partition, call)
+        run = CallRun(
+            self._services,
+            partition,
+            program,
+            call,
+            route,
+            document.pools[route.pool],
+        )
+        self.runs.add(run)
+        run.task.add_done_callback(lambda _: self.runs.discard(run))
+        async with aclosing(run.events()) as events:
+            async for event in events:
+                yield event
+
+    def _program(self, partition: Partition, call: CallRequest) -> Program:
+        """Returns a call's program, and starts it if this is its first call."""
+        if call.sealed:
+            self._unseal(partition, call)
+        key = (call.workspace, call.program_id)
+        if key not in partition.state.programs:
+            document = self._fleet.state.document(call.service)
+            assert document is not None
+            budget = document.program.budget_micros
+            if call.budget_micros >= 0:
+                budget = min(budget, call.budget_micros)
+            partition.add(
+                ProgramStarted(
+                    new_id("record"),
+                    call.workspace,
+                    call.program_id,
+                    call.service,
+                    budget,
+                    int(time.time()),
+                )
+            )
+        program = partition.state.programs[key]
+        root = partition.state.programs.get((call.workspace, root_of(call.program_id)))
+        if root is not None and root is not program and root.ended:
+            raise ProgramEnded(f"the root program has ended: {root.ended}")
+        return program
+
+    def _unseal(self, partition: Partition, call: CallRequest) -> None:
+        records = self._services.sealer.open(
+            call.workspace, call.program_id, call.sealed
+        )
+        for record in records:
+            if partition.state.apply(record):
+                partition.queue(record)
+
+    # Partitions.
+
+    async def partition(self, workspace: str, program_id: str) -> Partition:
+        """Returns the partition of a program, opened; raises `NotOwner`."""
+        number = partition_of(workspace, program_id)
+        if self._fleet.state.owners.partition(number) != self._peers.vm_id:
+            raise NotOwner
+        async with self._opening.setdefault(number, asyncio.Lock()):
+            known = self.partitions.get(number)
+            if known is not None and not known.lost:
+                if known.draining:
+                    raise Stopping(retry_after_s=1.0)
+                return known
+            partition = await self._open(number)
+            self.partitions[number] = partition
+            self._spawn(partition.flush())
+            return partition
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _open(self, number: int) -> Partition:
+        opened_at = await self._append_opened(number)
+        state = PartitionState()
+        try:
+            async for entry in self._commits.entries(number, 0, opened_at):
+                for text in entry.records:
+                    state.apply(load_program_record(text))
+        except PlatformError as error:
+            raise StoreUnavailable(retry_after_s=1.0) from error
+        partition = Partition(number, opened_at, state, self._commits)
+        for intent in list(state.intents.values()):
+            partition.add(_unknown(intent, state))
+        log.info("Partition opened.", partition=number, programs=len(state.programs))
+        return partition
+
+    async def _append_opened(self, number: int) -> int:
+        for _ in range(OPEN_TRIES):
+            try:
+                return await self._commits.append(number, [], 0)
+            except PartitionHeld as error:
+                await self._ask_handover(number, error.detail)
+            except (EpochStale, NotOwner):
+                self._fleet.hint()
+                if self._fleet.state.owners.partition(number) != self._peers.vm_id:
+                    raise
+            except (PeerError, StoreUnavailable, OwnerUnreachable):
+                pass
+            await asyncio.sleep(OPEN_RETRY_S)
+        raise StoreUnavailable("the partition cannot be opened", retry_after_s=1.0)
+
+    async def _ask_handover(self, number: int, holder: str) -> None:
+        try:
+            await self._peers.request(holder, Handover(number), HANDOVER_TIMEOUT_S)
+        except (PeerError, Refusal) as error:
+            log.debug("A handover failed.", partition=number, reason=error)
+
+    async def on_handover(self, message: Handover, sender: Sender) -> Ok:
+        """Finishes a partition's calls and closes it for its new owner."""
+        if sender.epoch > self._fleet.state.epoch:
+            await self._fleet.wait_for(
+                sender.epoch, self._services.settings.timing.peer_timeout_s
+            )
+        if self._fleet.state.owners.partition(message.partition) == self._peers.vm_id:
+            raise EpochStale
+        await self.close(message.partition)
+        return Ok()
+
+    async def close(self, number: int) -> None:
+        """Lets running calls of a partition finish, and gives it up."""
+        partition = self.partitions.get(number)
+        if partition is None or partition.lost:
+            return
+        partition.draining = True
+        await partition.idle()
+        if not partition.lost:
+            await self._commits.append_until_known(number, [], partition.opened_at)
+            partition.lose(NotOwner())
+        self.partitions.pop(number, None)
+        log.info("Partition handed over.", partition=number)
+
+    async def close_all(self) -> None:
+        """Gives up all partitions, in a planned stop."""
+        await asyncio.gather(*(self.close(number) for number in list(self.partitions)))
+
+    def stop_all(self, reason: Refusal) -> None:
+        """Ends all calls that may be interrupted."""
+        for run in list(self.runs):
+            run.stop(reason)
+
+    def _on_record(self, record: FleetRecord) -> None:
+        if isinstance(record, KeyWithdrawn):
+            for run in list(self.runs):
+                if run.call.key_id == record.key_id:
+                    run.stop(
+                        KeyRejected("the key was withdrawn", not_run=NotRun.UNKNOWN)
+                    )
+
+    # Queries.
+
+    async def on_query(self, message: ProgramQuery, sender: Sender) -> ProgramAnswer:
+        """Answers a query; raises `ProgramNotFound`."""
+        if message.action == "list":
+            body: Any = self._list(message.workspace)
+        else:
+            self._services.guard()
+            partition = await self.partition(message.workspace, message.program_id)
+            key = (message.workspace, message.program_id)
+            program = partition.state.programs.get(key)
+            if program is None:
+                raise ProgramNotFound
+            if message.action == "end":
+                body = await self._end(partition, program)
+            else:
+                body = describe(partition, program, message.action == "explain")
+        return ProgramAnswer(json.dumps(body).encode())
+
+    def _list(self, workspace: str) -> list[dict[str, Any]]:
+        return [
+            describe(partition, program, explain=False)
+            for partition in self.partitions.values()
+            if not partition.lost
+            for program in partition.state.programs.values()
+            if workspace in ("", program.workspace)
+        ]
+
+    async def _end(self, partition: Partition, program: Program) -> dict[str, Any]:
+        async with program.lock:
+            if not program.ended:
+                waiting = partition.add(
+                    ProgramFinished(
+                        new_id("record"),
+                        program.workspace,
+                        program.program_id,
+                        "ended by its caller",
+                    )
+                )
+                wait_s = self._services.settings.timing.durable_wait_s
+                await asyncio.wait([waiting.done], timeout=wait_s)
+        return describe(partition, program, explain=False)
+
+    # Engine memory.
+
+    async def release_ended(self) -> None:
+        """Frees what engines hold for ended programs, until it succeeds."""
+        while True:
+            await asyncio.sleep(RELEASE_PERIOD_S)
+            for partition in list(self.partitions.values()):
+                for program in list(partition.state.programs.values()):
+                    if program.ended and program.engines and not partition.lost:
+                        await self._release(partition, program)
+
+    async def _release(self, partition: Partition, program: Program) -> None:
+        document = self._fleet.state.document(program.service)
+        pools = document.pools.values() if document else ()
+        urls = {
+            upstream.name: upstream.url for pool in pools for upstream in pool.upstreams
+        }
+        for name in list(program.engines):
+            session = f"{program.workspace}/{program.program_id}"
+            try:
+                if name in urls:
+                    await self._services.upstreams.release(urls[name], session)
+            except UpstreamError as error:
+                log.debug("A release failed.", upstream=name, reason=error)
+                continue
+            partition.add(
+                EngineReleased(
+                    new_id("record"), program.workspace, program.program_id, name
+                )
+            )
+
+
+def _unknown(intent: CallIntended, state: PartitionState) -> CallFinished:
+    """Returns the record of a call whose sender died before it knew the outcome."""
+    program = state.programs[(intent.workspace, intent.program_id)]
+    return CallFinished(
+        record_id=new_id("record"),
+        workspace=intent.workspace,
+        program_id=intent.program_id,
+        call_id=intent.call_id,
+        idempotency_key=intent.idempotency_key,
+        body_digest=intent.body_digest,
+        route=intent.route,
+        upstream=intent.upstream,
+        outcome=Outcome.UNKNOWN,
+        http_status=FateUnknown.status,
+        content_type="application/json",
+        body="",
+        messages=[],
+        charge_micros=0,
+        prompt_tokens=0,
+        output_tokens=0,
+        cached_tokens=0,
+        sequence=program.sequence + 1,
+        at_unix_s=int(time.time()),
+        trace=Trace(reason="the owner died before the outcome was recorded"),
+    )
+
+
+def describe(partition: Partition, program: Program, explain: bool) -> dict[str, Any]:
+    """Returns a program as JSON; `explain` adds why each call went where it went."""
+    account = partition.state.account(program.workspace, program.program_id)
+    body: dict[str, Any] = {
+        "program_id": program.program_id,
+        "workspace": program.workspace,
+        "service": program.service,
+        "turns": len(program.calls),
+        "ended": program.ended,
+        "budget_micros": account.budget_micros,
+        "spent_micros": account.spent_micros,
+        "reserved_micros": account.reserved_micros,
+        "history_bytes": program.history_bytes,
+        "engines": sorted(program.engines),
+        "partition": partition.number,
+    }
+    if explain:
+        body["calls"] = [
+            {
+                "call_id": call.call_id,
+                "route": call.route,
+                "upstream": call.upstream,
+                "outcome": call.outcome,
+                "charge_micros": call.charge_micros,
+                "prompt_tokens": call.prompt_tokens,
+                "cached_tokens": call.cached_tokens,
+                "output_tokens": call.output_tokens,
+                **asdict(call.trace),
+            }
+            for call in program.calls
+        ]
+    else:
+        body["messages"] = [json.loads(message) for message in program.messages]
+    return body
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/partition.py
@@ -0,0 +1,139 @@
+"""One partition that this VM holds: its state and the records on their way."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from damasksaddle.exceptions import NotOwner, Refusal
+from damasksaddle.utils import get_log
+from damasksaddle_node.commit import CommitClient
+from damasksaddle_node.programs.records import (
+    CallFinished,
+    ProgramRecord,
+    dump_program_record,
+)
+from damasksaddle_node.programs.state import PartitionState
+
+log = get_log("programs")
+
+
+@dataclass(eq=False, slots=True)
+class Waiting:
+    """A record that is not durable yet; `done` holds its stream position."""
+
+    record: ProgramRecord
+    text: str
+    done: "asyncio.Future[int]"
+    sent: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class Partition:
+    """
+    A partition that this VM holds.
+
+    Records are applied to the state at once and become durable in order, in the
+    background; `opened_at` fences them.
+    """
+
+    number: int
+    opened_at: int
+    state: PartitionState
+    commits: CommitClient
+    lost: bool = False
+    draining: bool = False
+    running: int = 0
+    waiting: list[Waiting] = field(default_factory=list)
+    _wake: asyncio.Event = field(default_factory=asyncio.Event)
+    _idle: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def add(self, record: ProgramRecord) -> Waiting:
+        """Applies a record and queues it to become durable."""
+        self.state.apply(record)
+        return self.queue(record)
+
+    def queue(self, record: ProgramRecord) -> Waiting:
+        """Queues a record without applying it."""
+        done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        done.add_done_callback(_retrieve)
+        item = Waiting(record, dump_program_record(record), done)
+        self.waiting.append(item)
+        self._wake.set()
+        if self.lost:
+            item.done.set_exception(NotOwner())
+        return item
+
+    def withdraw(self, item: Waiting) -> bool:
+        """Takes back a record that was not sent yet; returns False if it was."""
+        if item.sent or item not in self.waiting:
+            return False
+        self.waiting.remove(item)
+        return True
+
+    def pending_bytes(self) -> int:
+        """Returns the size of the records that are not durable yet."""
+        return sum(len(item.text) for item in self.waiting)
+
+    def undurable_micros(self) -> int:
+        """Returns the charges that are not durable yet."""
+        return sum(
+            item.record.charge_micros
+            for item in self.waiting
+            if isinstance(item.record, CallFinished)
+        )
+
+    async def flush(self) -> None:
+        """Makes waiting records durable, in order, until the partition is lost."""
+        while not self.lost:
+            await self._wake.wait()
+            self._wake.clear()
+            batch = list(self.waiting)
+            if not batch:
+                continue
+            for item in batch:
+                item.sent = True
+            try:
+                position = await self.commits.append_until_known(
+                    self.number, [item.text for item in batch], self.opened_at
+                )
+            except Refusal as error:
+                log.warning("A partition was lost.", partition=self.number)
+                self.lose(error)
+                return
+            del self.waiting[: len(batch)]
+            for item in batch:
+                if not item.done.done():
+                    item.done.set_result(position)
+            if self.waiting:
+                self._wake.set()
+
+    def lose(self, error: Refusal) -> None:
+        """Ends the hold on this partition; records that wait will not be written."""
+        self.lost = True
+        for item in self.waiting:
+            if not item.done.done():
+                item.done.set_exception(error)
+        self._wake.set()
+
+    def begin(self) -> None:
+        """Counts a running call."""
+        self.running += 1
+
+    def end(self) -> None:
+        """Counts a running call's end."""
+        self.running -= 1
+        if self.running == 0:
+            self._idle.set()
+
+    async def idle(self) -> None:
+        """Waits until no call runs and all records are durable."""
+        while self.running:
+            self._idle.clear()
+            await self._idle.wait()
+        for item in list(self.waiting):
+            await asyncio.wait([item.done])
+
+
+def _retrieve(future: "asyncio.Future[int]") -> None:
+    # Nobody may be waiting for a record that was queued in the background.
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/records.py
@@ -0,0 +1,161 @@
+"""Records of programs in the commit streams, and the outcome of a call."""
+
+from enum import StrEnum
+from typing import Annotated, Literal
+
+from pydantic import Field, TypeAdapter
+from pydantic.dataclasses import dataclass
+
+
+class Outcome(StrEnum):
+    """How a call ended."""
+
+    OK = "ok"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not_run"
+
+
+@dataclass(frozen=True, slots=True)
+class Trace:
+    """Why a call went where it went, and what it waited for."""
+
+    entry_vm: str = ""
+    owner_vm: str = ""
+    reason: str = ""
+    order_wait_ms: int = 0
+    rate_wait_ms: int = 0
+    queue_wait_ms: int = 0
+    first_token_ms: int = 0
+    total_ms: int = 0
+    tries: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ProgramStarted:
+    """A program began; a root program carries the budget of its tree."""
+
+    record_id: str
+    workspace: str
+    program_id: str
+    service: str
+    budget_micros: int
+    at_unix_s: int
+    kind: Literal["program_started"] = "program_started"
+
+
+@dataclass(frozen=True, slots=True)
+class CallIntended:
+    """A non-repeatable call is about to be sent."""
+
+    record_id: str
+    workspace: str
+    program_id: str
+    call_id: str
+    idempotency_key: str
+    body_digest: str
+    route: str
+    upstream: str
+    reserved_micros: int
+    kind: Literal["call_intended"] = "call_intended"
+
+
+@dataclass(frozen=True, slots=True)
+class CallFinished:
+    """
+    A call ended. This record is also the charge: there is one per call id.
+
+    `messages` are what the call adds to the history, as JSON texts; `held` tells
+    whether the engine keeps memory for the program.
+    """
+
+    record_id: str
+    workspace: str
+    program_id: str
+    call_id: str
+    idempotency_key: str
+    body_digest: str
+    route: str
+    upstream: str
+    outcome: Outcome
+    http_status: int
+    content_type: str
+    body: str
+    messages: list[str]
+    charge_micros: int
+    prompt_tokens: int
+    output_tokens: int
+    cached_tokens: int
+    sequence: int
+    at_unix_s: int
+    trace: Trace
+    held: bool = False
+    kind: Literal["call_finished"] = "call_finished"
+
+
+@dataclass(frozen=True, slots=True)
+class ProgramFinished:
+    """A program ended; `engines` may still hold memory for it."""
+
+    record_id: str
+    workspace: str
+    program_id: str
+    reason: str
+    kind: Literal["program_finished"] = "program_finished"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReleased:
+    """An engine was told to free what it held for an ended program."""
+
+    record_id: str
+    workspace: str
+    program_id: str
+    upstream: str
+    kind: Literal["engine_released"] = "engine_released"
+
+
+ProgramRecord = Annotated[
+    ProgramStarted | CallIntended | CallFinished | ProgramFinished | EngineReleased,
+    Field(discriminator="kind"),
+]
+_ADAPTER: TypeAdapter[ProgramRecord] = TypeAdapter(ProgramRecord)
+
+
+def dump_program_record(record: ProgramRecord) -> str:
+    """Returns a record as JSON."""
+    return _ADAPTER.dump_json(record).decode()
+
+
+def load_program_record(text: str) -> ProgramRecord:
+    """Returns the record of a JSON text."""
+    return _ADAPTER.validate_json(text)
+
+
+@dataclass(frozen=True, slots=True)
+class CallOutcome:
+    """
+    What the owner tells the entry VM at the end of a call.
+
+    `durable` is False if the call's record is not in the table yet; `sealed` then
+    holds the records for the caller to keep.
+    """
+
+    call_id: str
+    program_id: str
+    outcome: Outcome
+    http_status: int
+    content_type: str
+    body: str
+    charge_micros: int
+    prompt_tokens: int
+    output_tokens: int
+    upstream: str
+    durable: bool
+    sealed: str
+    trace: Trace
+    replayed: bool = False
+
+
+OUTCOME: TypeAdapter[CallOutcome] = TypeAdapter(CallOutcome)
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/sealed.py
@@ -0,0 +1,54 @@
+"""
+Sealed records: turns that are not durable yet, kept by the caller.
+
+They are encrypted and authenticated with a key that is derived from the fleet
+secret, so a caller can keep them but neither read nor change them.
+"""
+
+import base64
+import json
+import secrets
+
+from cryptography.exceptions import InvalidTag
+from cryptography.hazmat.primitives.ciphers.aead import AESGCM
+from cryptography.hazmat.primitives.hashes import SHA256
+from cryptography.hazmat.primitives.kdf.hkdf import HKDF
+
+from damasksaddle.exceptions import BadRequest
+from damasksaddle_node.programs.records import ProgramRecord, load_program_record
+
+NONCE_BYTES = 12
+KEY_BYTES = 32
+
+
+class Sealer:
+    """
+    Seals and opens records of one program.
+
+    The workspace and program id are authenticated, so a sealed record of one
+    program is refused for any other.
+    """
+
+    def __init__(self, fleet_secret: str) -> None:
+        derived = HKDF(SHA256(), KEY_BYTES, salt=None, info=b"damasksaddle sealed")
+        self._cipher = AESGCM(derived.derive(fleet_secret.encode()))
+
+    def seal(self, workspace: str, program_id: str, records: list[str]) -> str:
+        """Returns records as a text for the caller to keep."""
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        data = json.dumps(records).encode()
+        scope = f"{workspace}\0{program_id}".encode()
+        return base64.urlsafe_b64encode(
+            nonce + self._cipher.encrypt(nonce, data, scope)
+        ).decode()
+
+    def open(self, workspace: str, program_id: str, text: str) -> list[ProgramRecord]:
+        """Returns the records of a sealed text; raises `BadRequest`."""
+        scope = f"{workspace}\0{program_id}".encode()
+        try:
+            data = base64.urlsafe_b64decode(text.encode())
+            nonce, body = data[:NONCE_BYTES], data[NONCE_BYTES:]
+            texts = json.loads(self._cipher.decrypt(nonce, body, scope))
+        except (InvalidTag, ValueError) as error:
+            raise BadRequest("the sealed record is not valid here") from error
+        return [load_program_record(text) for text in texts]
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/state.py
@@ -0,0 +1,154 @@
+"""The state of a partition's programs: a fold of its records."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from pydantic import TypeAdapter
+from pydantic.dataclasses import dataclass as checked
+
+from damasksaddle_node.programs.records import (
+    CallFinished,
+    CallIntended,
+    EngineReleased,
+    Outcome,
+    ProgramFinished,
+    ProgramRecord,
+    ProgramStarted,
+)
+
+ProgramKey = tuple[str, str]
+
+
+def root_of(program_id: str) -> str:
+    """Returns the root program of a sub-agent: `ROOT` of `ROOT/NAME`."""
+    return program_id.partition("/")[0]
+
+
+@dataclass(slots=True)
+class Account:
+    """The budget of a root program and its sub-agents, in millionths."""
+
+    budget_micros: int
+    spent_micros: int = 0
+    reserved_micros: int = 0
+
+    @property
+    def free_micros(self) -> int:
+        """What may still be reserved."""
+        return self.budget_micros - self.spent_micros - self.reserved_micros
+
+
+@dataclass(slots=True)
+class Program:
+    """One program; `lock` gives its calls their order while they run."""
+
+    workspace: str
+    program_id: str
+    service: str
+    started_at_unix_s: int
+    messages: list[str] = field(default_factory=list)
+    sequence: int = 0
+    attained_tokens: int = 0
+    upstream: str = ""
+    engines: set[str] = field(default_factory=set)
+    calls: list[CallFinished] = field(default_factory=list)
+    ended: str = ""
+    touched_s: float = 0.0
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    @property
+    def history_bytes(self) -> int:
+        """The size of the history."""
+        return sum(len(message) for message in self.messages)
+
+
+@checked(frozen=True, slots=True)
+class Snapshot:
+    """The records of a partition up to a position of its stream."""
+
+    position: int
+    records: list[str]
+
+
+SNAPSHOT: TypeAdapter[Snapshot] = TypeAdapter(Snapshot)
+
+
+@dataclass(slots=True)
+class PartitionState:
+    """The programs of one partition."""
+
+    programs: dict[ProgramKey, Program] = field(default_factory=dict)
+    accounts: dict[ProgramKey, Account] = field(default_factory=dict)
+    intents: dict[str, CallIntended] = field(default_factory=dict)
+    finished: dict[str, CallFinished] = field(default_factory=dict)
+    by_idempotency_key: dict[tuple[str, str, str], str] = field(default_factory=dict)
+    _seen: set[str] = field(default_factory=set)
+
+    def apply(self, record: ProgramRecord) -> bool:
+        """Applies a record once; returns False if its id was applied before."""
+        if record.record_id in self._seen:
+            return False
+        self._seen.add(record.record_id)
+        match record:
+            case ProgramStarted():
+                self._start(record)
+            case CallIntended():
+                self.intents[record.call_id] = record
+                self._remember_key(record)
+            case CallFinished():
+                self._finish_call(record)
+            case ProgramFinished():
+                program = self.programs.get((record.workspace, record.program_id))
+                if program is not None:
+                    program.ended = record.reason
+            case EngineReleased():
+                program = self.programs.get((record.workspace, record.program_id))
+                if program is not None:
+                    program.engines.discard(record.upstream)
+        return True
+
+    def _start(self, record: ProgramStarted) -> None:
+        key = (record.workspace, record.program_id)
+        if key in self.programs:
+            return
+        self.programs[key] = Program(
+            record.workspace, record.program_id, record.service, record.at_unix_s
+        )
+        root = (record.workspace, root_of(record.program_id))
+        self.accounts.setdefault(root, Account(record.budget_micros))
+
+    def _remember_key(self, record: CallIntended | CallFinished) -> None:
+        if record.idempotency_key:
+            key = self.idempotency(record)
+            self.by_idempotency_key[key] = record.call_id
+
+    @staticmethod
+    def idempotency(record: CallIntended | CallFinished) -> tuple[str, str, str]:
+        """Returns the scope and value of a record's idempotency key."""
+        root = root_of(record.program_id)
+        return (record.workspace, root, record.idempotency_key)
+
+    def _finish_call(self, record: CallFinished) -> None:
+        if record.call_id in self.finished:
+            return
+        self.intents.pop(record.call_id, None)
+        if record.outcome is Outcome.NOT_RUN:
+            self.by_idempotency_key.pop(self.idempotency(record), None)
+            return
+        self.finished[record.call_id] = record
+        self._remember_key(record)
+        program = self.programs[(record.workspace, record.program_id)]
+        program.messages.extend(record.messages)
+        program.sequence = max(program.sequence, record.sequence)
+        program.attained_tokens += record.prompt_tokens + record.output_tokens
+        program.calls.append(record)
+        if record.outcome is Outcome.OK:
+            program.upstream = record.upstream
+        if record.held:
+            program.engines.add(record.upstream)
+        account = self.account(record.workspace, record.program_id)
+        account.spent_micros += record.charge_micros
+
+    def account(self, workspace: str, program_id: str) -> Account:
+        """Returns the account that a program draws on."""
+        return self.accounts[(workspace, root_of(program_id))]
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/settings.py
@@ -0,0 +1,53 @@
+"""Settings of a node; the command line fills them from flags and environment."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """
+    Times of the fleet. They must be the same on every node.
+
+    The lease grows with the fleet: at 390 nodes and 15 s, renewals cost the table
+    78 writes a second.
+    """
+
+    lease_s: float = 6.0
+    freshness_s: float = 3.0
+    stream_grace_s: float = 5.0
+    poll_s: float = 1.0
+    commit_interval_s: float = 0.05
+    durable_wait_s: float = 0.5
+    peer_timeout_s: float = 2.0
+    connect_timeout_s: float = 1.0
+    accept_wait_s: float = 3.0
+    hold_s: float = 30.0
+    stop_timeout_s: float = 600.0
+    order_timeout_s: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of one node."""
+
+    name: str
+    failure_domain: str
+    http_host: str = "127.0.0.1"
+    http_port: int = 0
+    peer_host: str = "127.0.0.1"
+    peer_port: int = 0
+    admin_host: str = "127.0.0.1"
+    admin_port: int = 0
+    table_url: str = ""
+    objects_url: str = ""
+    vm_list_url: str = ""
+    fleet_secret: str = field(default="", repr=False)
+    operator_token: str = field(default="", repr=False)
+    streams: int = 4
+    max_body_bytes: int = 4 * 1024 * 1024
+    max_pending_bytes: int = 64 * 1024 * 1024
+    max_undurable_micros: int = 1_000_000
+    statsd_host: str = "127.0.0.1"
+    statsd_port: int = 8125
+    log_level: str = "info"
+    timing: Timing = Timing()
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/upstreams/http.py
@@ -0,0 +1,147 @@
+"""Upstreams over HTTP; engines speak the OpenAI-compatible streaming shape."""
+
+import asyncio
+import json
+from collections.abc import AsyncGenerator
+from typing import Any
+
+import aiohttp
+
+from damasksaddle.exceptions import UpstreamError
+from damasksaddle_node.upstreams.interfaces import (
+    EngineDone,
+    EngineEvent,
+    EngineLoad,
+    EngineRequest,
+    EngineToken,
+    PlainAnswer,
+    PlainRequest,
+)
+
+CONTROL_TIMEOUT_S = 5.0
+CONNECT_TIMEOUT_S = 2.0
+# A silent engine is given up on; batches at full load stay well below this.
+READ_TIMEOUT_S = 30.0
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+DATA_PREFIX = b"data: "
+
+_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError, KeyError)
+
+
+class HttpUpstreams:
+    """Calls upstreams through one `aiohttp` session."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def generate(
+        self, url: str, request: EngineRequest
+    ) -> AsyncGenerator[EngineEvent, None]:
+        """Yields tokens and at last `EngineDone`; raises `UpstreamError`."""
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
+        )
+        try:
+            async with self._session.post(
+                f"{url}/v1/chat/completions", json=_body(request), timeout=timeout
+            ) as response:
+                if response.status != HTTP_OK:
+                    raise UpstreamError(
+                        f"status {response.status}",
+                        sent=response.status != HTTP_UNAVAILABLE,
+                    )
+                async for line in response.content:
+                    if not line.startswith(DATA_PREFIX):
+                        continue
+                    data = line[len(DATA_PREFIX) :].strip()
+                    if data == b"[DONE]":
+                        return
+                    for event in _events(json.loads(data)):
+                        yield event
+        except aiohttp.ClientConnectorError as error:
+            raise UpstreamError(repr(error), sent=False) from error
+        except _FAILURES as error:
+            raise UpstreamError(repr(error), sent=True) from error
+        raise UpstreamError("the stream ended early", sent=True)
+
+    async def call(self, url: str, request: PlainRequest) -> PlainAnswer:
+        """Returns the answer of a plain service; raises `UpstreamError`."""
+        timeout = aiohttp.ClientTimeout(
+            total=request.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        headers = {
+            "Content-Type": request.content_type,
+            "X-Request-Id": request.call_id,
+            "Idempotency-Key": request.call_id,
+        }
+        try:
+            async with self._session.post(
+                url + request.path, data=request.body, headers=headers, timeout=timeout
+            ) as response:
+                body = await response.read()
+                return PlainAnswer(response.status, response.content_type, body)
+        except aiohttp.ClientConnectorError as error:
+            raise UpstreamError(repr(error), sent=False) from error
+        except _FAILURES as error:
+            raise UpstreamError(repr(error), sent=True) from error
+
+    async def release(self, url: str, session: str) -> None:
+        """Frees what an engine holds for a session."""
+        await self._control("POST", f"{url}/v1/release", {"session": session})
+
+    async def load(self, url: str) -> EngineLoad:
+        """Returns the engine's newest load report."""
+        report = await self._control("GET", f"{url}/v1/load", None)
+        try:
+            return EngineLoad(**report)
+        except TypeError as error:
+            raise UpstreamError(repr(error), sent=True) from error
+
+    async def _control(self, method: str, url: str, body: Any) -> Any:
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method, url, json=body, timeout=timeout
+            ) as response:
+                if response.status != HTTP_OK:
+                    raise UpstreamError(f"status {response.status}", sent=True)
+                return await response.json()
+        except _FAILURES as error:
+            raise UpstreamError(repr(error), sent=True) from error
+
+
+def _body(request: EngineRequest) -> dict[str, Any]:
+    return {
+        "model": request.model,
+        "messages": request.messages,
+        "max_tokens": request.max_tokens,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+        "call_id": request.call_id,
+        "session": request.session,
+        "priority": request.priority,
+        "resume_text": request.resume_text,
+        "keep": request.keep,
+    }
+
+
+def _events(chunk: dict[str, Any]) -> list[EngineEvent]:
+    found: list[EngineEvent] = []
+    reason = "stop"
+    for choice in chunk.get("choices", ()):
+        text = choice.get("delta", {}).get("content")
+        if text:
+            found.append(EngineToken(text))
+        reason = choice.get("finish_reason") or reason
+    usage = chunk.get("usage")
+    if usage:
+        found.append(
+            EngineDone(
+                usage["prompt_tokens"],
+                usage["completion_tokens"],
+                usage.get("cached_tokens", 0),
+                chunk.get("finish_reason", reason),
+            )
+        )
+    return found
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/upstreams/interfaces.py
@@ -0,0 +1,94 @@
+"""What the node expects of upstreams."""
+
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRequest:
+    """
+    A call to a model engine.
+
+    `resume_text` is output that another engine produced before it failed; the
+    engine continues after it. `keep` asks it to keep the session's cache.
+    """
+
+    call_id: str
+    session: str
+    model: str
+    messages: list[dict[str, Any]]
+    max_tokens: int
+    priority: int = 0
+    resume_text: str = ""
+    keep: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EngineToken:
+    """One piece of output."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class EngineDone:
+    """The end of an engine's output, with what it counted."""
+
+    prompt_tokens: int
+    output_tokens: int
+    cached_tokens: int
+    finish_reason: str
+
+
+EngineEvent = EngineToken | EngineDone
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """A load report of an engine, which lags."""
+
+    running: int
+    waiting: int
+    cached_tokens: int
+    cache_capacity_tokens: int
+    sessions: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class PlainRequest:
+    """A call to a plain service."""
+
+    call_id: str
+    path: str
+    body: bytes
+    content_type: str
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """The answer of a plain service."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Upstreams(Protocol):
+    """
+    Calls to upstreams by URL.
+
+    All methods raise `UpstreamError`, whose `sent` tells whether the call may have
+    reached the upstream.
+    """
+
+    def generate(
+        self, url: str, request: EngineRequest
+    ) -> AsyncGenerator[EngineEvent, None]: ...
+
+    async def call(self, url: str, request: PlainRequest) -> PlainAnswer: ...
+
+    async def release(self, url: str, session: str) -> None: ...
+
+    async def load(self, url: str) -> EngineLoad: ...
--- /dev/null
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -0,0 +1,181 @@
+@0xd1f0a6b58c3e9b27;
+# Messages between the nodes of one fleet. Fields may be added at the end only.
+
+struct Frame {
+  requestId @0 :UInt64;     # chosen by the side that opened the request
+  epoch @1 :UInt64;         # the sender's epoch, its fencing number
+  deadlineMs @2 :UInt32;    # time left for the request, 0 for none
+
+  union {
+    hello @3 :Hello;
+    ok @4 :Ok;
+    failure @5 :Failure;
+    cancel @6 :Cancel;
+    callRequest @7 :CallRequest;
+    callChunk @8 :CallChunk;
+    callEnd @9 :CallEnd;
+    acquire @10 :Acquire;
+    acquired @11 :Acquired;
+    append @12 :Append;
+    appended @13 :Appended;
+    place @14 :Place;
+    placed @15 :Placed;
+    finish @16 :Finish;
+    vouch @17 :Vouch;
+    vouched @18 :Vouched;
+    release @19 :Release;
+    released @20 :Released;
+    changeHint @21 :ChangeHint;
+    changeApplied @22 :ChangeApplied;
+    programQuery @23 :ProgramQuery;
+    programAnswer @24 :ProgramAnswer;
+    bucketHandover @25 :BucketHandover;
+    bucketLevel @26 :BucketLevel;
+    handover @27 :Handover;
+  }
+}
+
+struct Hello {
+  vmId @0 :Text;
+  nonce @1 :Data;
+  mac @2 :Data;
+}
+
+struct Ok {}
+
+struct Failure {
+  code @0 :Text;
+  detail @1 :Text;
+  notRun @2 :Text;
+  retryAfterMs @3 :Int64;   # -1 if a retry makes no sense
+}
+
+struct Cancel {}
+
+struct CallRequest {
+  callId @0 :Text;
+  workspace @1 :Text;
+  keyId @2 :Text;
+  service @3 :Text;
+  route @4 :Text;
+  programId @5 :Text;
+  idempotencyKey @6 :Text;
+  budgetMicros @7 :Int64;   # -1 if the caller stated none
+  stream @8 :Bool;
+  endProgram @9 :Bool;      # the call is a whole program of its own
+  sealed @10 :Text;
+  body @11 :Data;
+  contentType @12 :Text;
+  entryVm @13 :Text;
+  historyMode @14 :Text;    # append or full
+  timeoutMs @15 :UInt32;    # the caller's deadline, 0 if it stated none
+}
+
+struct CallChunk {
+  text @0 :Text;
+}
+
+struct CallEnd {
+  outcome @0 :Data;         # JSON of the owner's CallOutcome
+}
+
+struct Acquire {
+  workspace @0 :Text;
+  maxWaitMs @1 :UInt32;
+}
+
+struct Acquired {
+  waitedMs @0 :UInt32;
+}
+
+struct Append {
+  partition @0 :UInt32;
+  vmId @1 :Text;
+  records @2 :List(Text);
+  openedAt @3 :UInt64;      # position of the holder's PartitionOpened, 0 to open
+}
+
+struct Appended {
+  stream @0 :UInt32;
+  position @1 :UInt64;
+}
+
+struct Place {
+  callId @0 :Text;
+  pool @1 :Text;
+  workspace @2 :Text;
+  programId @3 :Text;
+  promptTokens @4 :UInt32;
+  maxTokens @5 :UInt32;
+  attainedTokens @6 :UInt64; # tokens that the program was served so far
+  lastUpstream @7 :Text;
+  excluded @8 :List(Text);   # upstreams that already failed this call
+  vmId @9 :Text;
+}
+
+struct Placed {
+  upstream @0 :Text;
+  url @1 :Text;
+  waitedMs @2 :UInt32;
+  reason @3 :Text;
+}
+
+struct Finish {
+  callId @0 :Text;
+  pool @1 :Text;
+  upstream @2 :Text;
+  servedTokens @3 :UInt32;
+  cachedTokens @4 :UInt32;
+  firstTokenMs @5 :UInt32;
+  totalMs @6 :UInt32;
+  failed @7 :Bool;
+  programEnded @8 :Bool;
+}
+
+struct Vouch {
+  vmId @0 :Text;
+  cursor @1 :UInt64;
+}
+
+struct Vouched {
+  cursor @0 :UInt64;
+  granted @1 :Bool;
+}
+
+struct Release {
+  vmId @0 :Text;
+}
+
+struct Released {
+  granted @0 :Bool;
+}
+
+struct ChangeHint {
+  cursor @0 :UInt64;
+}
+
+struct ChangeApplied {
+  cursor @0 :UInt64;
+}
+
+struct ProgramQuery {
+  workspace @0 :Text;
+  programId @1 :Text;
+  action @2 :Text;          # read, list, end or explain
+}
+
+struct ProgramAnswer {
+  body @0 :Data;            # JSON
+}
+
+struct BucketHandover {
+  workspace @0 :Text;
+}
+
+struct BucketLevel {
+  level @0 :Float64;        # tokens left, -1 if the sender has no bucket
+}
+
+struct Handover {
+  partition @0 :UInt32;
+}
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -0,0 +1,64 @@
+"""Starts stand-ins as processes, and the demo."""
+
+import asyncio
+import sys
+from typing import Any
+
+import click
+from aiohttp import web
+
+from damasksaddle_standins.demo import run_demo
+from damasksaddle_standins.engine import EngineSettings, ModelEngine
+from damasksaddle_standins.platform import MemoryObjects, MemoryTable
+from damasksaddle_standins.servers import engine_app, platform_app, tool_app
+from damasksaddle_standins.tool import ToolService
+
+
+async def _serve(app: web.Application, port: int) -> None:
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    host, bound_port = runner.addresses[0][:2]
+    print(f"ready http://{host}:{bound_port}", flush=True)
+    await asyncio.Event().wait()
+
+
+@click.group(context_settings={"auto_envvar_prefix": "STANDIN"})
+def main() -> None:
+    """Stand-ins for what lies outside of damasksaddle. For development only."""
+
+
+@main.command()
+@click.option("--port", default=0)
+def platform(port: int) -> None:
+    """Runs the platform: table, object store and VM list."""
+    asyncio.run(_serve(platform_app(MemoryTable(), MemoryObjects()), port))
+
+
+@main.command()
+@click.option("--port", default=0)
+@click.option("--name", default="engine")
+@click.option("--slots", default=8)
+@click.option("--token-s", default=0.01)
+def engine(port: int, **options: Any) -> None:
+    """Runs a model engine."""
+    asyncio.run(_serve(engine_app(ModelEngine(EngineSettings(**options))), port))
+
+
+@main.command()
+@click.option("--port", default=0)
+@click.option("--name", default="tool")
+def tool(port: int, name: str) -> None:
+    """Runs a plain service."""
+    asyncio.run(_serve(tool_app(ToolService(name)), port))
+
+
+@main.command()
+@click.option("--seed", default=1, show_default=True)
+def demo(seed: int) -> None:
+    """Runs agent programs of both deployments and kills one VM midway."""
+    sys.exit(asyncio.run(run_demo(seed)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/demo.py
@@ -0,0 +1,334 @@
+"""
+The demo: programs of both deployments on real node processes.
+
+Each deployment has its own platform, nodes, engines and services. One VM of each is
+killed midway; every program still ends, and no filing or payout is doubled.
+"""
+
+import asyncio
+import json
+import random
+import signal
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import click
+
+from damasksaddle_standins.processes import Process, Processes
+
+OPERATOR_TOKEN = "demo-operator"
+FLEET_SECRET = "demo-fleet-secret"
+LEASE_S = 3.0
+FRESHNESS_S = 1.5
+CALL_TIMEOUT_S = 40.0
+RETRIES = 60
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """The size and names of one deployment of the demo."""
+
+    name: str
+    failure_domains: tuple[str, ...]
+    engines: int
+    tools: int
+    workspaces: tuple[str, ...]
+    chat: str
+    action: str
+    turns: int
+
+
+BALTGRANTS = Deployment(
+    "baltgrants",
+    ("riga-a", "riga-b", "riga-c"),
+    engines=5,
+    tools=3,
+    workspaces=tuple(f"ngo-{n}" for n in range(1, 9)),
+    chat="digest",
+    action="file-report",
+    turns=4,
+)
+IMBUTO = Deployment(
+    "imbuto",
+    ("central-a", "central-b", "central-c", "central-d"),
+    engines=5,
+    tools=4,
+    workspaces=tuple(f"survey-{n}" for n in range(1, 9)),
+    chat="negotiate",
+    action="confirm",
+    turns=6,
+)
+
+
+@dataclass(slots=True)
+class Result:
+    """What one program of the demo did."""
+
+    program: str
+    turns: int = 0
+    latency_s: float = 0.0
+    cost_micros: int = 0
+    retries: int = 0
+    unknown: bool = False
+    owners: list[str] = field(default_factory=list)
+    upstreams: list[str] = field(default_factory=list)
+
+
+class UnknownOutcome(Exception):
+    """A call was sent, and its VM died before the outcome was recorded."""
+
+
+class Running:
+    """One deployment while the demo runs."""
+
+    def __init__(self, deployment: Deployment, processes: Processes) -> None:
+        self.deployment = deployment
+        self.nodes: list[Process] = []
+        self.tools: list[Process] = []
+        self._processes = processes
+        self._keys: dict[str, str] = {}
+
+    async def start(self) -> None:
+        """Starts the platform, upstreams and one node per failure domain."""
+        deployment = self.deployment
+        standins = "damasksaddle_standins"
+        platform = await self._processes.start(standins, "platform")
+        engines = await asyncio.gather(
+            *(
+                self._processes.start(standins, "engine", "--name", f"run-{n}")
+                for n in range(1, deployment.engines + 1)
+            )
+        )
+        self.tools = await asyncio.gather(
+            *(
+                self._processes.start(standins, "tool", "--name", f"app-{n}")
+                for n in range(1, deployment.tools + 1)
+            )
+        )
+        self.nodes = await asyncio.gather(
+            *(
+                self._start_node(number, domain, platform.ready[0])
+                for number, domain in enumerate(deployment.failure_domains, 1)
+            )
+        )
+        await self._configure([p.ready[0] for p in engines])
+
+    async def _start_node(self, number: int, domain: str, platform: str) -> Process:
+        env = {
+            "DAMASKSADDLE_FLEET_SECRET": FLEET_SECRET,
+            "DAMASKSADDLE_OPERATOR_TOKEN": OPERATOR_TOKEN,
+        }
+        return await self._processes.start(
+            "damasksaddle_node",
+            *("--name", f"{self.deployment.name}-{number}"),
+            *("--failure-domain", domain),
+            *("--table-url", platform, "--objects-url", platform),
+            *("--vm-list-url", platform, "--log-level", "warning"),
+            *("--lease-s", str(LEASE_S), "--freshness-s", str(FRESHNESS_S)),
+            env=env,
+        )
+
+    async def _configure(self, engine_urls: list[str]) -> None:
+        text = json.dumps(self._document(engine_urls))
+        name = self.deployment.name
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        admin = self.nodes[0].ready[2]
+        async with aiohttp.ClientSession(headers=headers) as session:
+            url = f"{admin}/admin/documents/{name}"
+            async with session.put(url, data=text) as response:
+                assert response.status == 200, await response.text()
+            for workspace in self.deployment.workspaces:
+                body = {"workspace": workspace}
+                async with session.post(f"{admin}/admin/keys", json=body) as response:
+                    assert response.status == 200, await response.text()
+                    self._keys[workspace] = (await response.json())["key"]
+
+    def _document(self, engine_urls: list[str]) -> dict[str, Any]:
+        deployment = self.deployment
+        domains = deployment.failure_domains
+
+        def upstreams(kind: str, urls: list[str]) -> list[dict[str, Any]]:
+            return [
+                {
+                    "name": f"{kind}-{number}",
+                    "url": url,
+                    "failure_domain": domains[number % len(domains)],
+                }
+                for number, url in enumerate(urls, 1)
+            ]
+
+        return {
+            "service": deployment.name,
+            "pools": {
+                "writer": {
+                    "kind": "model",
+                    "model": "agent-model",
+                    "prompt_micros_per_ktoken": 500,
+                    "output_micros_per_ktoken": 1500,
+                    "upstreams": upstreams("run", engine_urls),
+                },
+                "apps": {
+                    "kind": "plain",
+                    "call_micros": 100,
+                    "upstreams": upstreams("app", [p.ready[0] for p in self.tools]),
+                },
+            },
+            "routes": {
+                deployment.chat: {"pool": "writer"},
+                deployment.action: {"pool": "apps", "path": "/act", "repeat": "never"},
+            },
+            "workspaces": {
+                name: {"rate_per_s": 20, "burst": 40, "max_wait_ms": 10000}
+                for name in deployment.workspaces
+            },
+        }
+
+    async def run_programs(self, seed: int) -> list[Result]:
+        """Runs two programs per workspace and kills a VM midway."""
+        rng = random.Random(seed)
+        async with aiohttp.ClientSession() as session:
+            tasks = [
+                asyncio.create_task(
+                    self._program(session, workspace, f"agent-{number}", rng.random())
+                )
+                for workspace in self.deployment.workspaces
+                for number in (1, 2)
+            ]
+            await asyncio.sleep(1.0)
+            victim = self.nodes[-1]
+            victim.signal(signal.SIGKILL)
+            click.echo(f"  killed VM {victim.ready[0]}")
+            return await asyncio.gather(*tasks)
+
+    async def _program(
+        self, session: aiohttp.ClientSession, workspace: str, name: str, delay_s: float
+    ) -> Result:
+        result = Result(f"{workspace}/{name}")
+        started_s = time.monotonic()
+        await asyncio.sleep(delay_s)
+        for turn in range(1, self.deployment.turns + 1):
+            body = {
+                "model": f"{self.deployment.name}/{self.deployment.chat}",
+                "messages": [{"role": "user", "content": f"turn {turn} of {name}"}],
+                "max_tokens": 12,
+            }
+            answer = await self._post(
+                session,
+                "/v1/chat/completions",
+                workspace,
+                name,
+                f"turn-{turn}",
+                body,
+                result,
+            )
+            details = answer["damasksaddle"]
+            result.turns += 1
+            result.cost_micros += details["charge_micros"]
+            result.upstreams.append(details["upstream"])
+            result.owners.append(details["owner"])
+            await asyncio.sleep(0.1)
+        path = f"/v1/services/{self.deployment.name}/{self.deployment.action}"
+        filing = {"program": f"{workspace}/{name}"}
+        try:
+            await self._post(session, path, workspace, name, "filing", filing, result)
+            result.cost_micros += 100
+        except UnknownOutcome:
+            # The system does not repeat it; an agent would look it up.
+            result.unknown = True
+        path = f"/v1/programs/{name}/end"
+        await self._post(session, path, workspace, name, "", {}, result)
+        result.latency_s = time.monotonic() - started_s
+        return result
+
+    async def _post(
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        workspace: str,
+        program: str,
+        idempotency_key: str,
+        body: dict[str, Any],
+        result: Result,
+    ) -> dict[str, Any]:
+        """Posts to one address after the other until one answers."""
+        headers = {
+            "Authorization": f"Bearer {self._keys[workspace]}",
+            "X-Damasksaddle-Program": program,
+            "X-Damasksaddle-Idempotency-Key": idempotency_key,
+        }
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        problem = ""
+        for number in range(RETRIES):
+            node = self.nodes[(len(program) + number) % len(self.nodes)]
+            try:
+                async with session.post(
+                    node.ready[1] + path, json=body, headers=headers, timeout=timeout
+                ) as response:
+                    if response.status == 200:
+                        return await response.json()
+                    problem = await response.text()
+                    if response.status == 502:
+                        raise UnknownOutcome(problem)
+            except (aiohttp.ClientError, TimeoutError) as error:
+                problem = repr(error)
+            result.retries += 1
+            await asyncio.sleep(0.25)
+        raise RuntimeError(f"{workspace}/{program} {path}: {problem}")
+
+    async def filings(self) -> list[str]:
+        """Returns the bodies that the plain services in fact saw."""
+        found: list[str] = []
+        async with aiohttp.ClientSession() as session:
+            for tool in self.tools:
+                async with session.get(f"{tool.ready[0]}/seen") as response:
+                    seen = await response.json()
+                    found.extend(body for _, _, body in seen["calls"])
+        return found
+
+
+def _print(results: list[Result]) -> None:
+    click.echo(
+        f"  {'program':<20}{'turns':>6}{'latency':>9}{'cost':>7}{'retries':>8}  ran on"
+    )
+    for result in results:
+        owners = " -> ".join(dict.fromkeys(result.owners))
+        upstreams = ",".join(dict.fromkeys(result.upstreams))
+        click.echo(
+            f"  {result.program:<20}{result.turns:>6}{result.latency_s:>8.2f}s"
+            f"{result.cost_micros:>7}{result.retries:>8}  {owners} ({upstreams})"
+        )
+
+
+def _judge(results: list[Result], filings: list[str]) -> int:
+    """Compares what the programs were told with what the services saw."""
+    seen = [json.loads(body)["program"] for body in filings]
+    told = [result.program for result in results if not result.unknown]
+    lost = len(set(told) - set(seen))
+    doubled = len(seen) - len(set(seen))
+    unknown = len(results) - len(told)
+    click.echo(
+        f"  {len(results)} programs ended; actions lost: {lost}, doubled: {doubled}, "
+        f"reported as unknown: {unknown}"
+    )
+    return lost + doubled
+
+
+async def run_demo(seed: int) -> int:
+    """Runs both deployments; returns 0 if no program was lost or doubled."""
+    log_path = Path(tempfile.mkdtemp(prefix="damasksaddle-")) / "demo.log"
+    click.echo(f"logs: {log_path}")
+    failures = 0
+    async with Processes(log_path) as processes:
+        for deployment in (BALTGRANTS, IMBUTO):
+            running = Running(deployment, processes)
+            await running.start()
+            click.echo(f"{deployment.name}: {len(running.nodes)} VMs")
+            results = await running.run_programs(seed)
+            _print(results)
+            filings = await running.filings()
+            failures += _judge(results, filings)
+    return 1 if failures else 0
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/network.py
@@ -0,0 +1,108 @@
+"""Byte streams in memory between nodes of one test, which can be cut."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+
+class MemoryWriter:
+    """The writing end of a stream; what is written may be delayed or dropped."""
+
+    def __init__(
+        self, network: "MemoryNetwork", link: frozenset[str], far: asyncio.StreamReader
+    ) -> None:
+        self._network = network
+        self._link = link
+        self._far = far
+        self._closed = False
+
+    def write(self, data: bytes) -> None:
+        if self._closed:
+            raise ConnectionResetError("the stream is closed")
+        if self._link in self._network.cut:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._network.delay_s, self._deliver, data)
+
+    def _deliver(self, data: bytes) -> None:
+        if self._link not in self._network.cut and not self._far.at_eof():
+            try:
+                self._far.feed_data(data)
+            except AssertionError:
+                # The far end has been closed meanwhile.
+                return
+
+    async def drain(self) -> None:
+        return
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._network.delay_s, self._far.feed_eof)
+
+
+Accept = Callable[[asyncio.StreamReader, MemoryWriter], Awaitable[None]]
+
+
+class MemoryNetwork:
+    """
+    Connects nodes by address; `as_node` gives the network as one node sees it.
+
+    `cut` holds pairs of names whose streams lose everything that is written.
+    """
+
+    def __init__(self, delay_s: float = 0.005) -> None:
+        self.delay_s = delay_s
+        self.cut: set[frozenset[str]] = set()
+        self._accept: dict[str, Accept] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def as_node(self, name: str) -> "NodeNetwork":
+        """Returns the network of one node."""
+        return NodeNetwork(self, name)
+
+    def cut_off(self, name: str, others: list[str]) -> None:
+        """Cuts a node off from others."""
+        self.cut |= {frozenset((name, other)) for other in others if other != name}
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.cut.clear()
+
+    async def dial(
+        self, source: str, target: str
+    ) -> tuple[asyncio.StreamReader, MemoryWriter]:
+        link = frozenset((source, target))
+        await asyncio.sleep(2 * self.delay_s)
+        if link in self.cut:
+            await asyncio.sleep(3600)
+        if target not in self._accept:
+            raise ConnectionRefusedError(target)
+        near, far = asyncio.StreamReader(), asyncio.StreamReader()
+        task = asyncio.ensure_future(
+            self._accept[target](far, MemoryWriter(self, link, near))
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return near, MemoryWriter(self, link, far)
+
+
+class NodeNetwork:
+    """The network as one node sees it; its address is its name and port 1."""
+
+    def __init__(self, network: MemoryNetwork, name: str) -> None:
+        self._network = network
+        self._name = name
+
+    async def dial(self, address: str) -> tuple[asyncio.StreamReader, MemoryWriter]:
+        return await self._network.dial(self._name, address.rpartition(":")[0])
+
+    async def listen(
+        self, host: str, port: int, accept: Accept
+    ) -> tuple[str, Callable[[], Awaitable[None]]]:
+        self._network._accept[self._name] = accept
+
+        async def close() -> None:
+            self._network._accept.pop(self._name, None)
+
+        return f"{self._name}:1", close
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/processes.py
@@ -0,0 +1,69 @@
+"""Starts and ends the processes of a demo or a test, by process id."""
+
+import asyncio
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 5.0
+
+
+@dataclass(slots=True)
+class Process:
+    """A running process and the words of its `ready` line."""
+
+    process: asyncio.subprocess.Process
+    ready: list[str]
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to this process only."""
+        if self.process.returncode is None:
+            os.kill(self.process.pid, number)
+
+    async def wait(self) -> int:
+        """Waits for its end and returns its status."""
+        return await self.process.wait()
+
+
+@dataclass(slots=True)
+class Processes:
+    """All processes of one demo or test; `async with` ends them."""
+
+    log_path: Path
+    started: list[Process] = field(default_factory=list)
+
+    async def __aenter__(self) -> "Processes":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for process in self.started:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.started:
+            await process.wait()
+
+    async def start(
+        self, module: str, *arguments: str, env: dict[str, str] | None = None
+    ) -> Process:
+        """Starts a Python module and waits for its `ready` line."""
+        with self.log_path.open("ab") as errors:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors,
+                env={**os.environ, **(env or {})},
+            )
+        assert process.stdout is not None
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            line = (await process.stdout.readline()).decode().split()
+        if not line or line[0] != "ready":
+            raise RuntimeError(f"{module} did not start; see {self.log_path}")
+        found = Process(process, line[1:])
+        self.started.append(found)
+        return found
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/tool.py
@@ -0,0 +1,43 @@
+"""A plain service that records its calls: filings, payouts, messages."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from damasksaddle.exceptions import UpstreamError
+from damasksaddle_node.upstreams import PlainAnswer, PlainRequest
+
+
+@dataclass(slots=True)
+class ToolService:
+    """
+    One service; `seen` holds the calls that took effect, in order.
+
+    `hang` calls take effect and never answer; `lose_answers` calls take effect and
+    end in an error.
+    """
+
+    name: str = "tool"
+    delay_s: float = 0.02
+    hang: int = 0
+    lose_answers: int = 0
+    refuse_connections: bool = False
+    seen: list[tuple[str, str, str]] = field(default_factory=list)
+
+    async def call(self, request: PlainRequest) -> PlainAnswer:
+        """Carries out a call; raises `UpstreamError`."""
+        if self.refuse_connections:
+            raise UpstreamError("connection refused", sent=False)
+        body = request.body.decode(errors="replace")
+        self.seen.append((request.call_id, request.path, body))
+        number = len(self.seen)
+        if self.hang > 0:
+            self.hang -= 1
+            await asyncio.sleep(request.timeout_s)
+            raise UpstreamError("timeout", sent=True)
+        await asyncio.sleep(self.delay_s)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise UpstreamError("the answer was lost", sent=True)
+        answer = {"service": self.name, "number": number}
+        return PlainAnswer(200, "application/json", json.dumps(answer).encode())
--- /dev/null
+++ b/tests/node/test_path.py
@@ -0,0 +1,104 @@
+"""The whole path in one process: entry, owner, pool, upstream, commit."""
+
+import json
+
+import pytest
+
+from damasksaddle.exceptions import KeyRejected
+from damasksaddle.utils import partition_of
+from damasksaddle_node.entry import CallerRequest
+from damasksaddle_standins import ModelEngine, ToolService
+from damasksaddle_standins.fleet import LocalFleet
+
+DOCUMENT = """
+service: desk
+pools:
+  writer:
+    kind: model
+    model: lv
+    prompt_micros_per_ktoken: 1000
+    output_micros_per_ktoken: 2000
+    upstreams:
+      - {name: run-1, url: "http://run-1", failure_domain: a}
+      - {name: run-2, url: "http://run-2", failure_domain: b}
+  filing:
+    kind: plain
+    call_micros: 50
+    upstreams:
+      - {name: tool-1, url: "http://tool-1", failure_domain: a}
+routes:
+  chat: {pool: writer}
+  file: {pool: filing, path: /file, repeat: never}
+workspaces:
+  ngo: {rate_per_s: 10, burst: 10}
+"""
+
+
+async def desk(fleet: LocalFleet) -> str:
+    fleet.upstreams.engines = {
+        "http://run-1": ModelEngine(),
+        "http://run-2": ModelEngine(),
+    }
+    fleet.upstreams.tools = {"http://tool-1": ToolService()}
+    await fleet.apply("desk", DOCUMENT)
+    return await fleet.give_key("ngo")
+
+
+def chat(key: str, text: str, **fields) -> CallerRequest:
+    body = {"messages": [{"role": "user", "content": text}], "max_tokens": 3}
+    return CallerRequest(key, "desk", "chat", json.dumps(body).encode(), **fields)
+
+
+async def test_history_grows_over_entry_vms():
+    """Guards against a program's history depending on the VM that is reached."""
+    async with LocalFleet(3) as fleet:
+        key = await desk(fleet)
+        for number in range(6):
+            text, outcome = await fleet.call(
+                f"vm{number % 3}",
+                chat(key, f"turn{number}", program_id="p1", stream=True),
+            )
+            assert text == "w0 w1 w2 "
+            assert outcome.durable
+        engines = fleet.upstreams.engines.values()
+        prompts = [call.prompt for engine in engines for call in engine.seen]
+        longest = max(prompts, key=len)
+        assert [word for word in longest.split() if word.startswith("turn")] == [
+            f"turn{number}" for number in range(6)
+        ]
+
+
+async def test_owner_dies_between_turns():
+    """Guards against losing turns when the owner of a program is killed."""
+    async with LocalFleet(4) as fleet:
+        key = await desk(fleet)
+        await fleet.call("vm0", chat(key, "first", program_id="p1"))
+        owner = fleet.owner_of(lambda s: s.owners.partition(partition_of("ngo", "p1")))
+        await fleet.kill(owner)
+        entry = next(iter(fleet.nodes))
+        await fleet.call(entry, chat(key, "second", program_id="p1"))
+        engines = fleet.upstreams.engines.values()
+        prompts = [call.prompt for engine in engines for call in engine.seen]
+        assert "first w0 w1 w2  second" in prompts
+
+
+async def test_filing_runs_once():
+    """Guards against a non-repeatable call running twice with one key."""
+    async with LocalFleet(3) as fleet:
+        key = await desk(fleet)
+        request = CallerRequest(
+            key, "desk", "file", b'{"report": 1}', idempotency_key="report-1"
+        )
+        _, first = await fleet.call("vm0", request)
+        _, second = await fleet.call("vm1", request)
+        assert first.body == second.body
+        assert second.replayed
+        assert len(fleet.upstreams.tools["http://tool-1"].seen) == 1
+
+
+async def test_unknown_key_is_refused():
+    """Guards against a request without a valid key reaching an upstream."""
+    async with LocalFleet(1) as fleet:
+        await desk(fleet)
+        with pytest.raises(KeyRejected):
+            await fleet.call("vm0", chat("dsk_aa_bb", "hello"))
