Make identifiers repeatable in tests

Cause: the owners of partitions follow from the vm_ids, whose random part made each test run take another path. Change: identifiers come from one source that tests seed; keys and nonces still come from the system's source.

--- a/packages/core/src/damasksaddle/utils/__init__.py
+++ b/packages/core/src/damasksaddle/utils/__init__.py
@@ -1,7 +1,7 @@
 """Small helpers without state."""
 
 from damasksaddle.utils.hashing import PARTITIONS, digest_of, partition_of, rendezvous
-from damasksaddle.utils.ids import new_id
+from damasksaddle.utils.ids import new_id, seed_ids
 from damasksaddle.utils.logs import get_log, set_up_logs
 
 __all__ = [
@@ -11,5 +11,6 @@
     "new_id",
     "partition_of",
     "rendezvous",
+    "seed_ids",
     "set_up_logs",
 ]
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -1,7 +1,6 @@
 """One node: wires the parts together and runs them as a `mode` service."""
 
 import asyncio
-import secrets
 from contextlib import suppress
 
 from aiohttp import web
@@ -9,7 +8,7 @@
 
 from damasksaddle.exceptions import NotFresh, NotRun, PlatformError, Stopping
 from damasksaddle.platform import Objects, Table, VmList
-from damasksaddle.utils import get_log
+from damasksaddle.utils import get_log, new_id
 from damasksaddle_node.commit import CommitClient, Committers
 from damasksaddle_node.dump import dump_state
 from damasksaddle_node.entry import Entry
@@ -33,7 +32,6 @@
 log = get_log("node")
 
 JOIN_RETRY_S = 0.5
-BOOT_NONCE_BYTES = 4
 
 
 class Node(Service):
@@ -56,7 +54,7 @@
     ) -> None:
         super().__init__()
         self.settings = settings
-        self.vm_id = f"{settings.name}-{secrets.token_hex(BOOT_NONCE_BYTES)}"
+        self.vm_id = new_id(settings.name)
         self.removed = asyncio.Event()
         self.http_url = ""
         self.admin_url = ""
