Measure what single operations of a node cost

Cause: docs/CAPACITY.md needs slopes that come from runs. Change: python -m damasksaddle_standins costs times frames, ownership, records, rows, documents and buckets, and measures memory per item.

--- a/packages/standins/src/damasksaddle_standins/__main__.py
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -7,6 +7,7 @@
 import click
 from aiohttp import web
 
+from damasksaddle_standins.costs import measure, table
 from damasksaddle_standins.demo import run_demo
 from damasksaddle_standins.engine import EngineSettings, ModelEngine
 from damasksaddle_standins.platform import MemoryObjects, MemoryTable
@@ -60,5 +61,11 @@
     sys.exit(asyncio.run(run_demo(seed)))
 
 
+@main.command()
+def costs() -> None:
+    """Measures what single operations of a node cost."""
+    click.echo(table(measure()))
+
+
 if __name__ == "__main__":
     main()
