Split the run of a call by concern

Change: context.py holds what the parts share, run.py the task and the order, model.py and plain.py the calls, outcome.py the record and the answer. Behaviour stays the same, except that the detail of an unknown fate no longer repeats the call id.

--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -24,7 +24,7 @@
 from damasksaddle_node.peers import Handlers, Network, PeerPool, PeerServer
 from damasksaddle_node.pools import PoolClient, PoolSchedulers
 from damasksaddle_node.programs import ProgramOwner
-from damasksaddle_node.programs.run import Services
+from damasksaddle_node.programs.context import Services
 from damasksaddle_node.programs.sealed import Sealer
 from damasksaddle_node.settings import Settings
 from damasksaddle_node.upstreams import Upstreams
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/model.py
@@ -0,0 +1,214 @@
+"""Calls to model engines."""
+
+import asyncio
+import json
+from contextlib import aclosing
+from typing import Any
+
+from damasksaddle.exceptions import (
+    BadRequest,
+    HistoryMismatch,
+    NotRun,
+    UpstreamError,
+    UpstreamFailed,
+    UpstreamUnavailable,
+)
+from damasksaddle.utils import get_log
+from damasksaddle_node.programs.budget import cost_micros, prompt_tokens_at_most
+from damasksaddle_node.programs.context import JSON, MAX_TRIES, MS, CallContext
+from damasksaddle_node.programs.outcome import HTTP_OK, finished_record, wait_durable
+from damasksaddle_node.programs.records import CallFinished, Outcome
+from damasksaddle_node.upstreams import EngineDone, EngineRequest, EngineToken
+from damasksaddle_protocol import CallChunk, Finish, Placed
+
+log = get_log("programs")
+
+
+class ModelCall:
+    """Runs a call on the engines of its pool."""
+
+    def __init__(self, context: CallContext) -> None:
+        self._context = context
+
+    def _chat(self) -> dict[str, Any]:
+        try:
+            body = json.loads(self._context.call.body)
+            messages = body["messages"]
+        except (ValueError, KeyError, TypeError) as error:
+            raise BadRequest("the body has no messages") from error
+        if not isinstance(messages, list) or not messages:
+            raise BadRequest("messages is not a list")
+        return body
+
+    def _new_messages(self, body: dict[str, Any]) -> list[str]:
+        """Returns what this call adds to the history."""
+        messages = [json.dumps(message) for message in body["messages"]]
+        if self._context.call.history_mode == "append":
+            return messages
+        known = self._context.program.messages
+        if messages[: len(known)] != known:
+            raise HistoryMismatch
+        return messages[len(known) :]
+
+    def _max_tokens(self, body: dict[str, Any]) -> int:
+        asked = body.get("max_completion_tokens") or body.get("max_tokens")
+        if asked is None:
+            return self._context.pool.max_tokens
+        if not isinstance(asked, int) or asked < 1:
+            raise BadRequest("max_tokens is not a positive number")
+        return asked
+
+    def _prompt_bytes(self, body: dict[str, Any]) -> int:
+        return sum(
+            len(message.encode())
+            for message in [*self._context.program.messages, *self._new_messages(body)]
+        )
+
+    def cost_at_most(self) -> int:
+        """Returns the price of the longest answer to the longest prompt."""
+        body = self._chat()
+        prompt = prompt_tokens_at_most(self._context.pool, self._prompt_bytes(body))
+        return cost_micros(self._context.pool, prompt, self._max_tokens(body))
+
+    async def run(self, reserved_micros: int) -> CallFinished:
+        """Returns the record of the call, not queued yet; raises `Refusal`."""
+        body = self._chat()
+        added = self._new_messages(body)
+        outcome, failure = Outcome.OK, None
+        try:
+            await self._generate(body, added)
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if self._context.stop_reason is None or task is None:
+                raise
+            task.uncancel()
+            outcome, failure = Outcome.CANCELLED, self._context.stop_reason
+        except UpstreamFailed as error:
+            outcome, failure = Outcome.FAILED, error
+        if not self._context.output.started:
+            # No engine took the call, so it did not run and is not charged.
+            failure = failure or UpstreamUnavailable()
+            failure.not_run = NotRun.YES
+            raise failure
+        record = self._record(outcome, added, reserved_micros)
+        if failure is not None:
+            self._context.interruptible = False
+            failure.not_run = NotRun.NO
+            await wait_durable(self._context, self._context.partition.add(record))
+            raise failure
+        return record
+
+    async def _generate(self, body: dict[str, Any], added: list[str]) -> None:
+        excluded: list[str] = []
+        max_tokens = self._max_tokens(body)
+        for number in range(1, MAX_TRIES + 1):
+            self._context.note(tries=number)
+            placed = await self._context.place(
+                self._prompt_bytes(body), max_tokens, excluded
+            )
+            try:
+                await self._stream(placed, added, max_tokens)
+                return
+            except UpstreamError as error:
+                log.warning(
+                    "An engine failed a call.",
+                    call=self._context.call.call_id,
+                    upstream=placed.upstream,
+                    reason=error,
+                )
+                excluded.append(placed.upstream)
+                if error.sent:
+                    self._context.output.started = True
+        if self._context.output.started:
+            raise UpstreamFailed
+        raise UpstreamUnavailable(retry_after_s=1.0)
+
+    async def _stream(self, placed: Placed, added: list[str], max_tokens: int) -> None:
+        started_s = self._context.now_s()
+        finish = Finish(
+            self._context.call.call_id,
+            self._context.pool_name,
+            placed.upstream,
+        )
+        output = self._context.output
+        before = output.tokens
+        try:
+            # The engine may act on the call from here on.
+            self._context.services.guard()
+            output.upstream = placed.upstream
+            await self._relay(placed.url, added, max_tokens)
+        except UpstreamError:
+            finish.failed = True
+            raise
+        finally:
+            finish.served_tokens = output.tokens - before
+            finish.cached_tokens = output.cached_tokens
+            first_s = output.first_token_s or self._context.now_s()
+            finish.first_token_ms = max(0, int((first_s - started_s) * MS))
+            finish.total_ms = int((self._context.now_s() - started_s) * MS)
+            finish.program_ended = self._context.call.end_program
+            self._context.services.pools.finish(finish)
+
+    async def _relay(self, url: str, added: list[str], max_tokens: int) -> None:
+        output = self._context.output
+        messages = [
+            json.loads(text) for text in [*self._context.program.messages, *added]
+        ]
+        request = EngineRequest(
+            call_id=self._context.call.call_id,
+            session=f"{self._context.call.workspace}/{self._context.program.program_id}",
+            model=self._context.pool.model,
+            messages=messages,
+            max_tokens=max_tokens - output.tokens,
+            resume_text=output.text,
+            keep=not self._context.call.end_program,
+        )
+        events = self._context.services.upstreams.generate(url, request)
+        async with aclosing(events) as stream:
+            async for event in stream:
+                match event:
+                    case EngineToken(text):
+                        self._on_token(text)
+                        if output.tokens >= max_tokens:
+                            # An engine that generates more than asked is cut off.
+                            output.finish_reason = "length"
+                            return
+                    case EngineDone():
+                        output.prompt_tokens = event.prompt_tokens
+                        output.cached_tokens = event.cached_tokens
+                        output.finish_reason = event.finish_reason
+                        return
+
+    def _on_token(self, text: str) -> None:
+        output = self._context.output
+        output.started = True
+        if output.first_token_s is None:
+            output.first_token_s = self._context.now_s()
+            self._context.note(first_token_ms=self._context.elapsed_ms())
+        output.text += text
+        output.tokens += 1
+        if self._context.call.stream:
+            self._context.events.put_nowait(CallChunk(text))
+
+    def _record(
+        self, outcome: Outcome, added: list[str], reserved_micros: int
+    ) -> CallFinished:
+        output = self._context.output
+        messages: list[str] = []
+        if outcome is Outcome.OK:
+            answer = {"role": "assistant", "content": output.text}
+            messages = [*added, json.dumps(answer)]
+        charge = cost_micros(self._context.pool, output.prompt_tokens, output.tokens)
+        return finished_record(
+            self._context,
+            outcome,
+            http_status=HTTP_OK,
+            content_type=JSON,
+            body=json.dumps(
+                {"text": output.text, "finish_reason": output.finish_reason}
+            ),
+            messages=messages,
+            charge_micros=min(charge, reserved_micros),
+            upstream=output.upstream,
+            held=not self._context.call.end_program,
+        )
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/outcome.py
@@ -0,0 +1,110 @@
+"""The record of a call, how it becomes durable, and the answer made of it."""
+
+import asyncio
+import time
+
+from damasksaddle.exceptions import FateUnknown, NotRun
+from damasksaddle.utils import new_id
+from damasksaddle_node.programs.context import JSON, CallContext
+from damasksaddle_node.programs.partition import Waiting
+from damasksaddle_node.programs.records import (
+    OUTCOME,
+    CallFinished,
+    CallOutcome,
+    Outcome,
+)
+from damasksaddle_protocol import CallEnd
+
+HTTP_OK = 200
+
+
+def finished_record(
+    context: CallContext,
+    outcome: Outcome,
+    *,
+    body: str,
+    upstream: str,
+    http_status: int = HTTP_OK,
+    content_type: str = JSON,
+    messages: list[str] | None = None,
+    charge_micros: int = 0,
+    held: bool = False,
+) -> CallFinished:
+    """Returns the record of a call's end."""
+    context.note(total_ms=context.elapsed_ms())
+    return CallFinished(
+        record_id=new_id("record"),
+        workspace=context.call.workspace,
+        program_id=context.program.program_id,
+        call_id=context.call.call_id,
+        idempotency_key=context.call.idempotency_key,
+        body_digest=context.digest,
+        route=context.call.route,
+        upstream=upstream,
+        outcome=outcome,
+        http_status=http_status,
+        content_type=content_type,
+        body=body,
+        messages=messages or [],
+        charge_micros=charge_micros,
+        prompt_tokens=context.output.prompt_tokens,
+        output_tokens=context.output.tokens,
+        cached_tokens=context.output.cached_tokens,
+        sequence=context.program.sequence + 1,
+        at_unix_s=int(time.time()),
+        trace=context.trace,
+        held=held,
+    )
+
+
+async def wait_durable(context: CallContext, waiting: Waiting) -> bool:
+    """
+    Waits a little for a record to become durable.
+
+    Raises `FateUnknown` if the partition was lost before that.
+    """
+    wait_s = context.services.settings.timing.durable_wait_s
+    await asyncio.wait([waiting.done], timeout=wait_s)
+    if not waiting.done.done():
+        return False
+    if waiting.done.exception() is not None:
+        raise FateUnknown(
+            "the call ran, but another VM took the program over before it was recorded",
+            not_run=NotRun.UNKNOWN,
+        )
+    return True
+
+
+def call_end(
+    context: CallContext, record: CallFinished, durable: bool, replayed: bool = False
+) -> CallEnd:
+    """Returns the end of a call's answer, with what the caller must keep."""
+    sealed = ""
+    if not durable:
+        sealed = context.services.sealer.seal(
+            record.workspace,
+            record.program_id,
+            [
+                item.text
+                for item in context.partition.waiting
+                if getattr(item.record, "workspace", "") == record.workspace
+                and getattr(item.record, "program_id", "") == record.program_id
+            ],
+        )
+    outcome = CallOutcome(
+        record.call_id,
+        record.program_id,
+        record.outcome,
+        record.http_status,
+        record.content_type,
+        record.body,
+        record.charge_micros,
+        record.prompt_tokens,
+        record.output_tokens,
+        record.upstream,
+        durable,
+        sealed,
+        record.trace,
+        replayed,
+    )
+    return CallEnd(OUTCOME.dump_json(outcome))
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -30,6 +30,7 @@
 from damasksaddle_node.commit import CommitClient
 from damasksaddle_node.fleet.records import FleetRecord, KeyWithdrawn
 from damasksaddle_node.peers import Handlers, PeerPool, Sender
+from damasksaddle_node.programs.context import CallContext, Services
 from damasksaddle_node.programs.partition import Partition
 from damasksaddle_node.programs.records import (
     CallFinished,
@@ -41,7 +42,7 @@
     Trace,
     load_program_record,
 )
-from damasksaddle_node.programs.run import CallRun, Services
+from damasksaddle_node.programs.run import CallRun
 from damasksaddle_node.programs.state import PartitionState, Program, root_of
 from damasksaddle_protocol import (
     CallChunk,
@@ -100,13 +101,9 @@
             raise RouteNotFound(f"{call.service}/{call.route}")
         partition = await self.partition(call.workspace, call.program_id)
         program = self._program(partition, call)
+        pool = document.pools[route.pool]
         run = CallRun(
-            self._services,
-            partition,
-            program,
-            call,
-            route,
-            document.pools[route.pool],
+            CallContext(self._services, partition, program, call, route, pool)
         )
         self.runs.add(run)
         run.task.add_done_callback(lambda _: self.runs.discard(run))
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/plain.py
@@ -0,0 +1,153 @@
+"""Calls to plain services."""
+
+from contextlib import suppress
+
+from damasksaddle.config import Repeat
+from damasksaddle.exceptions import (
+    FateUnknown,
+    NotOwner,
+    Refusal,
+    StoreUnavailable,
+    UpstreamError,
+    UpstreamFailed,
+    UpstreamUnavailable,
+)
+from damasksaddle.utils import new_id
+from damasksaddle_node.programs.context import MAX_TRIES, MS, CallContext
+from damasksaddle_node.programs.outcome import finished_record, wait_durable
+from damasksaddle_node.programs.records import CallFinished, CallIntended, Outcome
+from damasksaddle_node.upstreams import PlainAnswer, PlainRequest
+from damasksaddle_protocol import Finish, Placed
+
+HTTP_SERVER_ERROR = 500
+
+
+class PlainCall:
+    """Runs a call on the services of its pool."""
+
+    def __init__(self, context: CallContext) -> None:
+        self._context = context
+
+    def cost_at_most(self) -> int:
+        """Returns the price of the call."""
+        return self._context.pool.call_micros
+
+    async def run(self, reserved_micros: int) -> CallFinished:
+        """Returns the record of the call, not queued yet; raises `Refusal`."""
+        excluded: list[str] = []
+        for number in range(1, MAX_TRIES + 1):
+            self._context.note(tries=number)
+            placed = await self._context.place(
+                len(self._context.call.body), 1, excluded
+            )
+            try:
+                answer = await self._call_plain(placed, reserved_micros)
+                return self._record(answer, placed, reserved_micros)
+            except UpstreamError as error:
+                excluded.append(placed.upstream)
+                if error.sent and self._context.route.repeat is Repeat.NEVER:
+                    await self._record_unknown(placed)
+                    raise FateUnknown(
+                        "the call was sent, and no answer came"
+                    ) from error
+                if error.sent:
+                    self._context.output.started = True
+        if self._context.output.started:
+            raise UpstreamFailed
+        raise UpstreamUnavailable(retry_after_s=1.0)
+
+    async def _call_plain(self, placed: Placed, reserved_micros: int) -> PlainAnswer:
+        started_s = self._context.now_s()
+        finish = Finish(
+            self._context.call.call_id,
+            self._context.pool_name,
+            placed.upstream,
+        )
+        never = self._context.route.repeat is Repeat.NEVER
+        try:
+            if never:
+                await self._intend(placed, reserved_micros)
+                # From here on the outcome must be recorded.
+                self._context.interruptible = False
+            await self._guard_send(placed, never)
+            request = PlainRequest(
+                self._context.call.call_id,
+                self._context.route.path,
+                self._context.call.body,
+                self._context.call.content_type,
+                self._context.route.timeout_s,
+            )
+            return await self._context.services.upstreams.call(placed.url, request)
+        except UpstreamError as error:
+            finish.failed = True
+            if never and not error.sent:
+                await self._abandon(placed)
+            raise
+        finally:
+            finish.total_ms = int((self._context.now_s() - started_s) * MS)
+            self._context.services.pools.finish(finish)
+
+    async def _guard_send(self, placed: Placed, never: bool) -> None:
+        """Raises `Refusal` unless this VM may send the call now."""
+        try:
+            self._context.services.guard()
+            if self._context.partition.lost:
+                raise NotOwner
+        except Refusal:
+            if never and not self._context.partition.lost:
+                await self._abandon(placed)
+            raise
+
+    async def _intend(self, placed: Placed, reserved_micros: int) -> None:
+        """Makes the intent durable, or raises `StoreUnavailable`."""
+        record = CallIntended(
+            new_id("record"),
+            self._context.call.workspace,
+            self._context.program.program_id,
+            self._context.call.call_id,
+            self._context.call.idempotency_key,
+            self._context.digest,
+            self._context.call.route,
+            placed.upstream,
+            reserved_micros,
+        )
+        waiting = self._context.partition.add(record)
+        try:
+            if await wait_durable(self._context, waiting):
+                return
+        except FateUnknown as error:
+            raise NotOwner from error
+        self._context.partition.withdraw(waiting)
+        await self._abandon(placed)
+        raise StoreUnavailable(
+            "the call's intent could not be made durable", retry_after_s=1.0
+        )
+
+    async def _abandon(self, placed: Placed) -> None:
+        """Records that an intended call was certainly not sent."""
+        self._context.partition.add(
+            finished_record(
+                self._context, Outcome.NOT_RUN, body="", upstream=placed.upstream
+            )
+        )
+
+    async def _record_unknown(self, placed: Placed) -> None:
+        record = finished_record(
+            self._context, Outcome.UNKNOWN, body="", upstream=placed.upstream
+        )
+        with suppress(FateUnknown):
+            await wait_durable(self._context, self._context.partition.add(record))
+
+    def _record(
+        self, answer: PlainAnswer, placed: Placed, reserved_micros: int
+    ) -> CallFinished:
+        failed = answer.status >= HTTP_SERVER_ERROR
+        return finished_record(
+            self._context,
+            Outcome.FAILED if failed else Outcome.OK,
+            http_status=answer.status,
+            content_type=answer.content_type,
+            body=answer.body.decode(errors="replace"),
+            charge_micros=0 if failed else reserved_micros,
+            upstream=placed.upstream,
+        )
