Make the engine stand-in batch, cache in blocks and take orders

Cause: the stand-in cached whole prompts per session, ran calls independently of each other and took no orders, so it could not tell scheduling policies apart and could not test fencing.

Change: one step serves the whole batch and takes longer the more it does; the prefix cache has blocks that sessions share, LRU eviction and pins for kept sessions, and a ledger of tokens computed again and held unused. Load reports lag, cache events are late and have gaps. Orders carry a fencing number that the engine checks or ignores; loads draw on a weight store that refuses more loads at once than it serves. The HTTP servers and clients have the same operations, and an engine that refuses a call answers 503 before it streams.

Ruled out: a separate task per call with a semaphore, as before; step times then do not depend on the batch.

--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -290,6 +290,13 @@
         self.sent = sent
 
 
+class OrderRefused(UpstreamError):
+    """An engine refused an order, because its fencing number is old."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=True)
+
+
 def _refusals(base: type[Refusal]) -> dict[str, type[Refusal]]:
     found = {base.code: base}
     for child in base.__subclasses__():
--- a/packages/node/src/damasksaddle_node/upstreams/__init__.py
+++ b/packages/node/src/damasksaddle_node/upstreams/__init__.py
@@ -2,9 +2,12 @@
 
 from damasksaddle_node.upstreams.http import HttpUpstreams
 from damasksaddle_node.upstreams.interfaces import (
+    CacheEvent,
     EngineDone,
     EngineEvent,
+    EngineHoldings,
     EngineLoad,
+    EngineOrder,
     EngineRequest,
     EngineToken,
     PlainAnswer,
@@ -13,9 +16,12 @@
 )
 
 __all__ = [
+    "CacheEvent",
     "EngineDone",
     "EngineEvent",
+    "EngineHoldings",
     "EngineLoad",
+    "EngineOrder",
     "EngineRequest",
     "EngineToken",
     "HttpUpstreams",
--- a/packages/node/src/damasksaddle_node/upstreams/http.py
+++ b/packages/node/src/damasksaddle_node/upstreams/http.py
@@ -3,15 +3,19 @@
 import asyncio
 import json
 from collections.abc import AsyncGenerator
+from dataclasses import asdict
 from typing import Any
 
 import aiohttp
 
-from damasksaddle.exceptions import UpstreamError
+from damasksaddle.exceptions import OrderRefused, UpstreamError
 from damasksaddle_node.upstreams.interfaces import (
+    CacheEvent,
     EngineDone,
     EngineEvent,
+    EngineHoldings,
     EngineLoad,
+    EngineOrder,
     EngineRequest,
     EngineToken,
     PlainAnswer,
@@ -22,7 +26,10 @@
 CONNECT_TIMEOUT_S = 2.0
 # A silent engine is given up on; batches at full load stay well below this.
 READ_TIMEOUT_S = 30.0
+# An order to load weights ends when they are loaded.
+ORDER_TIMEOUT_S = 600.0
 HTTP_OK = 200
+HTTP_CONFLICT = 409
 HTTP_UNAVAILABLE = 503
 DATA_PREFIX = b"data: "
 
@@ -92,18 +99,48 @@
 
     async def load(self, url: str) -> EngineLoad:
         """Returns the engine's newest load report."""
-        report = await self._control("GET", f"{url}/v1/load", None)
+        report = await self._control("GET", f"{url}/v1/load")
         try:
             return EngineLoad(**report)
         except TypeError as error:
             raise UpstreamError(repr(error), sent=True) from error
 
-    async def _control(self, method: str, url: str, body: Any) -> Any:
-        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
+        """Returns an engine's cache events after a number."""
+        events = await self._control("GET", f"{url}/v1/cache_events?after={after}")
+        try:
+            return [CacheEvent(*event) for event in events]
+        except TypeError as error:
+            raise UpstreamError(repr(error), sent=True) from error
+
+    async def order(self, url: str, order: EngineOrder) -> None:
+        """Orders an engine to hold weights; raises `OrderRefused`."""
+        await self._control(
+            "POST", f"{url}/v1/orders", asdict(order), timeout_s=ORDER_TIMEOUT_S
+        )
+
+    async def holdings(self, url: str) -> EngineHoldings:
+        """Returns what an engine holds."""
+        report = await self._control("GET", f"{url}/v1/holdings")
+        try:
+            return EngineHoldings(**report)
+        except TypeError as error:
+            raise UpstreamError(repr(error), sent=True) from error
+
+    async def _control(
+        self,
+        method: str,
+        url: str,
+        body: Any = None,
+        timeout_s: float = CONTROL_TIMEOUT_S,
+    ) -> Any:
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self._session.request(
                 method, url, json=body, timeout=timeout
             ) as response:
+                if response.status == HTTP_CONFLICT:
+                    raise OrderRefused(await response.text())
                 if response.status != HTTP_OK:
                     raise UpstreamError(f"status {response.status}", sent=True)
                 return await response.json()
--- a/packages/node/src/damasksaddle_node/upstreams/interfaces.py
+++ b/packages/node/src/damasksaddle_node/upstreams/interfaces.py
@@ -55,6 +55,37 @@
     sessions: dict[str, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """What an engine now holds for a session; late, and some are lost."""
+
+    number: int
+    session: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOrder:
+    """An order to hold weights and to take a role; `fence` is the epoch."""
+
+    fence: int
+    model: str
+    adapter: str = ""
+    version: str = ""
+    role: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineHoldings:
+    """What an engine holds, and the highest fencing number that it took."""
+
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
+    role: str = ""
+    fence: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class PlainRequest:
     """A call to a plain service."""
@@ -92,3 +123,11 @@
     async def release(self, url: str, session: str) -> None: ...
 
     async def load(self, url: str) -> EngineLoad: ...
+
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]: ...
+
+    async def order(self, url: str, order: EngineOrder) -> None:
+        """Raises `OrderRefused` if the fencing number is old."""
+        ...
+
+    async def holdings(self, url: str) -> EngineHoldings: ...
--- a/packages/standins/src/damasksaddle_standins/__main__.py
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -41,6 +41,10 @@
 @click.option("--name", default="engine")
 @click.option("--slots", default=8)
 @click.option("--token-s", default=0.01)
+@click.option("--slowness", default=1.0)
+@click.option("--load-lag-s", default=0.5)
+@click.option("--event-loss", default=0.0)
+@click.option("--checks-fencing/--ignores-fencing", default=True)
 def engine(port: int, **options: Any) -> None:
     """Runs a model engine."""
     asyncio.run(_serve(engine_app(ModelEngine(EngineSettings(**options))), port))
--- a/packages/standins/src/damasksaddle_standins/engine.py
+++ b/packages/standins/src/damasksaddle_standins/engine.py
@@ -1,45 +1,68 @@
 """
 A model engine: continuous batching, a bounded prefix cache, sessions, priorities.
 
-Tokens are words. A call first waits for a batch slot, then spends time on each
-prompt token that is not cached, and then yields one token per step.
+Tokens are words. One step serves the whole batch: every call that decodes gets one
+token, and calls that prefill share a budget of prompt tokens. A step takes longer
+the more it does.
 """
 
 import asyncio
 import json
-from collections import OrderedDict
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
 from typing import Any
 
 from damasksaddle.exceptions import UpstreamError
 from damasksaddle_node.upstreams import (
+    CacheEvent,
     EngineDone,
     EngineEvent,
+    EngineHoldings,
     EngineLoad,
+    EngineOrder,
     EngineRequest,
     EngineToken,
 )
+from damasksaddle_standins.cache import (
+    BLOCK_TOKENS,
+    CacheLedger,
+    PrefixCache,
+    block_names,
+)
+from damasksaddle_standins.orders import OrderDesk, WeightStore
+from damasksaddle_standins.reports import CacheEvents, LoadReports
 
 
 @dataclass(slots=True)
 class EngineSettings:
-    """How an engine behaves; `slowness` multiplies all its times."""
+    """
+    How an engine behaves; `slowness` multiplies all its times.
+
+    A step takes `token_s`, `batch_growth` more of it for each further call that
+    decodes, and `prefill_s_per_token` for each prompt token.
+    """
 
     name: str = "engine"
     slots: int = 8
     prefill_s_per_token: float = 0.0005
+    prefill_tokens_per_step: int = 512
     token_s: float = 0.01
+    batch_growth: float = 0.05
+    transfer_s_per_token: float = 0.00005
     cache_tokens: int = 200_000
     checks_fencing: bool = True
     slowness: float = 1.0
+    load_lag_s: float = 0.0
+    event_lag_s: float = 0.2
+    event_loss: float = 0.0
+    order_delay_s: float = 0.0
     fail_after_tokens: int | None = None
     extra_tokens: int = 0
 
 
 @dataclass(slots=True)
 class SeenCall:
-    """What an engine saw of one call."""
+    """What an engine saw of one call; times are of the event loop."""
 
     call_id: str
     session: str
@@ -47,117 +70,215 @@
     max_tokens: int
     tokens: int = 0
     ended: str = "running"
+    arrived_s: float = 0.0
+    ended_s: float = 0.0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
 
 
-@dataclass(slots=True)
-class _Cached:
-    text: str
-    tokens: int
+@dataclass(eq=False, slots=True)
+class _Call:
+    request: EngineRequest
+    seen: SeenCall
+    number: int
+    words: list[str]
+    names: list[int]
+    before: int
+    to_prefill: int = 0
+    output: list[str] = field(default_factory=list)
+    events: asyncio.Queue[EngineEvent | UpstreamError] = field(
+        default_factory=asyncio.Queue
+    )
 
 
-@dataclass(slots=True)
 class ModelEngine:
     """One engine; `seen` records its calls in the order of their arrival."""
 
-    settings: EngineSettings = field(default_factory=EngineSettings)
-    seen: list[SeenCall] = field(default_factory=list)
-    released: list[str] = field(default_factory=list)
-    recomputed_tokens: int = 0
-    _slots: asyncio.Semaphore | None = None
-    _running: int = 0
-    _cache: OrderedDict[str, _Cached] = field(default_factory=OrderedDict)
-    _held: set[str] = field(default_factory=set)
+    def __init__(
+        self,
+        settings: EngineSettings | None = None,
+        ledger: CacheLedger | None = None,
+        store: WeightStore | None = None,
+    ) -> None:
+        self.settings = settings = settings or EngineSettings()
+        self.seen: list[SeenCall] = []
+        self.released: list[str] = []
+        self.cache = PrefixCache(settings.cache_tokens, ledger or CacheLedger())
+        self.orders = OrderDesk(
+            settings.name, settings.checks_fencing, store, settings.order_delay_s
+        )
+        self._events = CacheEvents(settings.event_lag_s, settings.event_loss)
+        self._reports = LoadReports(settings.load_lag_s)
+        self._waiting: list[_Call] = []
+        self._batch: list[_Call] = []
+        self._task: asyncio.Task[None] | None = None
 
     async def generate(
         self, request: EngineRequest
     ) -> AsyncGenerator[EngineEvent, None]:
         """Yields the tokens of a call; raises `UpstreamError` if it fails."""
-        if self._slots is None:
-            self._slots = asyncio.Semaphore(self.settings.slots)
+        self._check_model(request.model)
+        call = self._arrive(request)
+        try:
+            while True:
+                event = await call.events.get()
+                if isinstance(event, UpstreamError):
+                    raise event
+                yield event
+                if isinstance(event, EngineDone):
+                    return
+        finally:
+            if call.seen.ended == "running":
+                self._end(call, "cancelled")
+
+    def _check_model(self, model: str) -> None:
+        held = self.orders.holdings.model
+        if self.orders.loading or (held and held != model):
+            raise UpstreamError(f"model {model} is not loaded", sent=False)
+
+    def _arrive(self, request: EngineRequest) -> _Call:
         prompt = " ".join(str(message.get("content")) for message in request.messages)
         seen = SeenCall(request.call_id, request.session, prompt, request.max_tokens)
+        seen.arrived_s = asyncio.get_running_loop().time()
+        before = request.resume_text.split()
+        words = prompt.split() + before
+        seen.prompt_tokens = len(words)
+        call = _Call(
+            request, seen, len(self.seen), words, block_names(words), len(before)
+        )
         self.seen.append(seen)
+        self._waiting.append(call)
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
+        return call
+
+    def _end(self, call: _Call, how: str) -> None:
+        call.seen.ended = how
+        call.seen.ended_s = asyncio.get_running_loop().time()
+        for calls in (self._waiting, self._batch):
+            if call in calls:
+                calls.remove(call)
+
+    async def _run(self) -> None:
         try:
-            async with self._slots:
-                self._running += 1
-                try:
-                    async for event in self._run(request, seen):
-                        yield event
-                finally:
-                    self._running -= 1
-            seen.ended = "finished"
-        except GeneratorExit:
-            seen.ended = "cancelled"
-            raise
-        except asyncio.CancelledError:
-            seen.ended = "cancelled"
-            raise
-
-    async def _run(
-        self, request: EngineRequest, seen: SeenCall
-    ) -> AsyncGenerator[EngineEvent, None]:
+            while self._waiting or self._batch:
+                self._admit()
+                await self._step()
+        finally:
+            self._task = None
+
+    def _admit(self) -> None:
+        """Moves waiting calls into the batch, the most urgent first."""
+        self._waiting.sort(key=lambda call: (-call.request.priority, call.number))
+        while self._waiting and len(self._batch) < self.settings.slots:
+            call = self._waiting.pop(0)
+            cached = self.cache.match(call.names)
+            self.cache.computed(call.names, cached, len(call.words))
+            call.seen.cached_tokens = cached
+            call.to_prefill = len(call.words) - cached
+            self._batch.append(call)
+
+    async def _step(self) -> None:
+        settings = self.settings
+        decoding = [call for call in self._batch if not call.to_prefill]
+        budget = settings.prefill_tokens_per_step
+        chunks: list[tuple[_Call, int]] = []
+        for call in self._batch:
+            chunk = min(call.to_prefill, budget)
+            if chunk:
+                chunks.append((call, chunk))
+                budget -= chunk
+        prefilled = settings.prefill_tokens_per_step - budget
+        step_s = prefilled * settings.prefill_s_per_token
+        if decoding:
+            growth = 1 + settings.batch_growth * (len(decoding) - 1)
+            step_s += settings.token_s * growth
+        await asyncio.sleep(step_s * settings.slowness)
+        for call, chunk in chunks:
+            call.to_prefill -= chunk
+        for call in decoding:
+            if call.seen.ended == "running":
+                self._decode(call)
+
+    def _decode(self, call: _Call) -> None:
         settings = self.settings
-        prompt = f"{seen.prompt} {request.resume_text}".strip()
-        total = len(prompt.split())
-        cached = self._cached_tokens(request.session, prompt)
-        self.recomputed_tokens += total - cached
-        prefill_s = (total - cached) * settings.prefill_s_per_token
-        await asyncio.sleep(prefill_s * settings.slowness)
-        before = len(request.resume_text.split())
-        output: list[str] = []
-        for number in range(request.max_tokens + settings.extra_tokens):
-            if number == settings.fail_after_tokens:
-                seen.ended = "failed"
-                raise UpstreamError("the engine failed", sent=True)
-            await asyncio.sleep(settings.token_s * settings.slowness)
-            word = f"w{before + number} "
-            output.append(word)
-            seen.tokens += 1
-            yield EngineToken(word)
-        if request.keep:
-            self._keep(request.session, f"{prompt} {''.join(output)}".strip())
-        yield EngineDone(len(seen.prompt.split()), before + len(output), cached, "stop")
-
-    def _cached_tokens(self, session: str, prompt: str) -> int:
-        cached = self._cache.get(session)
-        if cached is None or not prompt.startswith(cached.text):
-            return 0
-        self._cache.move_to_end(session)
-        return cached.tokens
-
-    def _keep(self, session: str, text: str) -> None:
-        self._cache[session] = _Cached(text, len(text.split()))
-        self._cache.move_to_end(session)
-        self._held.add(session)
-        while self.cached_total() > self.settings.cache_tokens:
-            evicted, _ = self._cache.popitem(last=False)
-            self._held.discard(evicted)
-
-    def cached_total(self) -> int:
-        """Returns the tokens in the cache."""
-        return sum(cached.tokens for cached in self._cache.values())
+        if len(call.output) == settings.fail_after_tokens:
+            self._end(call, "failed")
+            call.events.put_nowait(UpstreamError("the engine failed", sent=True))
+            return
+        word = f"w{call.before + len(call.output)}"
+        call.output.append(word)
+        call.seen.tokens += 1
+        call.events.put_nowait(EngineToken(f"{word} "))
+        if len(call.output) >= call.request.max_tokens + settings.extra_tokens:
+            self._finish(call)
+
+    def _finish(self, call: _Call) -> None:
+        self._end(call, "finished")
+        names = block_names(call.words + call.output)
+        self.cache.insert(call.request.session, names, call.request.keep)
+        self._publish()
+        call.events.put_nowait(
+            EngineDone(
+                len(call.words) - call.before,
+                call.before + len(call.output),
+                call.seen.cached_tokens,
+                "stop",
+            )
+        )
+
+    def _publish(self) -> None:
+        self._events.publish(self.cache.changed)
+        self.cache.changed.clear()
 
     def held_sessions(self) -> set[str]:
         """Returns the sessions that hold memory."""
-        return set(self._held)
+        return set(self.cache.held())
 
     def release(self, session: str) -> None:
         """Frees what is held for a session."""
         self.released.append(session)
-        self._cache.pop(session, None)
-        self._held.discard(session)
+        self.cache.release(session)
+        self._publish()
+
+    def export_kv(self, session: str) -> list[int]:
+        """Returns the blocks of a kept session."""
+        return self.cache.export(session)
+
+    async def import_kv(self, session: str, blocks: list[int]) -> None:
+        """Takes over the blocks of a session, which takes time by their size."""
+        tokens = len(blocks) * BLOCK_TOKENS
+        settings = self.settings
+        await asyncio.sleep(tokens * settings.transfer_s_per_token * settings.slowness)
+        self.cache.insert(session, blocks, keep=True)
+        self._publish()
 
     def load(self) -> EngineLoad:
-        """Returns a load report."""
-        waiting = sum(1 for call in self.seen if call.ended == "running")
-        return EngineLoad(
-            running=self._running,
-            waiting=max(0, waiting - self._running),
-            cached_tokens=self.cached_total(),
-            cache_capacity_tokens=self.settings.cache_tokens,
-            sessions={name: cached.tokens for name, cached in self._cache.items()},
+        """Returns a load report, which lags."""
+        return self._reports.read(
+            EngineLoad(
+                running=len(self._batch),
+                waiting=len(self._waiting),
+                cached_tokens=self.cache.tokens,
+                cache_capacity_tokens=self.settings.cache_tokens,
+                sessions=self.cache.held(),
+            )
         )
 
+    def cache_events(self, after: int) -> list[CacheEvent]:
+        """Returns the cache events after a number that are published by now."""
+        return self._events.after(after)
+
+    async def order(self, order: EngineOrder) -> None:
+        """Carries out an order; raises `OrderRefused` or `UpstreamError`."""
+        if await self.orders.order(order):
+            self.cache.clear()
+            self._publish()
+
+    def holdings(self) -> EngineHoldings:
+        """Returns what the engine holds."""
+        return self.orders.holdings
+
 
 def request_from_body(body: dict[str, Any]) -> EngineRequest:
     """Returns the request in an HTTP body."""
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/reports.py
@@ -0,0 +1,62 @@
+"""What an engine stand-in publishes: load with a lag, cache events with gaps."""
+
+import asyncio
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from damasksaddle_node.upstreams import CacheEvent, EngineLoad
+
+
+@dataclass(slots=True)
+class CacheEvents:
+    """Cache events by number; each is published `lag_s` late or lost."""
+
+    lag_s: float
+    loss: float
+    seed: int = 1
+    _next: int = 1
+    _events: deque[tuple[float, CacheEvent]] = field(
+        default_factory=lambda: deque(maxlen=4096)
+    )
+    _random: random.Random = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._random = random.Random(self.seed)
+
+    def publish(self, sessions: dict[str, int]) -> None:
+        """Publishes the tokens that are now held for some sessions."""
+        at_s = asyncio.get_running_loop().time() + self.lag_s
+        for session, tokens in sessions.items():
+            event = CacheEvent(self._next, session, tokens)
+            self._next += 1
+            if self._random.random() >= self.loss:
+                self._events.append((at_s, event))
+
+    def after(self, number: int) -> list[CacheEvent]:
+        """Returns the events after a number that are published by now."""
+        now_s = asyncio.get_running_loop().time()
+        return [
+            event
+            for at_s, event in self._events
+            if event.number > number and at_s <= now_s
+        ]
+
+
+@dataclass(slots=True)
+class LoadReports:
+    """Load reports that readers see `lag_s` late."""
+
+    lag_s: float
+    _reports: deque[tuple[float, EngineLoad]] = field(default_factory=deque)
+
+    def read(self, current: EngineLoad) -> EngineLoad:
+        """Notes the current load and returns the newest report of `lag_s` ago."""
+        if not self.lag_s:
+            return current
+        now_s = asyncio.get_running_loop().time()
+        self._reports.append((now_s, current))
+        while len(self._reports) > 1 and self._reports[1][0] <= now_s - self.lag_s:
+            self._reports.popleft()
+        at_s, report = self._reports[0]
+        return report if at_s <= now_s - self.lag_s else EngineLoad(0, 0, 0, 0)
--- a/packages/standins/src/damasksaddle_standins/servers.py
+++ b/packages/standins/src/damasksaddle_standins/servers.py
@@ -1,17 +1,21 @@
 """The stand-ins as HTTP servers, for separate processes."""
 
 import json
+from contextlib import aclosing
+from dataclasses import asdict, astuple
 
 from aiohttp import web
 
 from damasksaddle.exceptions import (
     AnswerLost,
     ObjectMissing,
+    OrderRefused,
     RowTaken,
     TableUnavailable,
+    UpstreamError,
 )
 from damasksaddle.platform import Put, Row
-from damasksaddle_node.upstreams import PlainRequest
+from damasksaddle_node.upstreams import EngineOrder, PlainRequest
 from damasksaddle_standins.engine import ModelEngine, chunk_of, request_from_body
 from damasksaddle_standins.platform import MemoryObjects, MemoryTable
 from damasksaddle_standins.tool import ToolService
@@ -100,9 +104,18 @@
     async def chat(request: web.Request) -> web.StreamResponse:
         call = request_from_body(await request.json())
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-        await response.prepare(request)
-        async for event in engine.generate(call):
-            await response.write(chunk_of(event))
+        async with aclosing(engine.generate(call)) as events:
+            try:
+                async for event in events:
+                    if not response.prepared:
+                        await response.prepare(request)
+                    await response.write(chunk_of(event))
+            except UpstreamError as error:
+                if not response.prepared:
+                    status = 500 if error.sent else 503
+                    return web.Response(status=status, text=str(error))
+                # The stream breaks off: callers see an early end.
+                return response
         await response.write(b"data: [DONE]\n\n")
         return response
 
@@ -111,10 +124,31 @@
         return web.json_response({})
 
     async def load(request: web.Request) -> web.Response:
-        report = engine.load()
-        return web.json_response(
-            {name: getattr(report, name) for name in report.__slots__}
-        )
+        return web.json_response(asdict(engine.load()))
+
+    async def cache_events(request: web.Request) -> web.Response:
+        events = engine.cache_events(int(request.query["after"]))
+        return web.json_response([astuple(event) for event in events])
+
+    async def order(request: web.Request) -> web.Response:
+        try:
+            await engine.order(EngineOrder(**await request.json()))
+        except OrderRefused as error:
+            return web.Response(status=409, text=str(error))
+        except UpstreamError as error:
+            return web.Response(status=429, text=str(error))
+        return web.json_response({})
+
+    async def holdings(request: web.Request) -> web.Response:
+        return web.json_response(asdict(engine.holdings()))
+
+    async def export_kv(request: web.Request) -> web.Response:
+        return web.json_response(engine.export_kv(request.query["session"]))
+
+    async def import_kv(request: web.Request) -> web.Response:
+        body = await request.json()
+        await engine.import_kv(body["session"], body["blocks"])
+        return web.json_response({})
 
     async def seen(request: web.Request) -> web.Response:
         return web.json_response(
@@ -133,6 +167,11 @@
             web.post("/v1/chat/completions", chat),
             web.post("/v1/release", release),
             web.get("/v1/load", load),
+            web.get("/v1/cache_events", cache_events),
+            web.post("/v1/orders", order),
+            web.get("/v1/holdings", holdings),
+            web.get("/v1/kv", export_kv),
+            web.post("/v1/kv", import_kv),
             web.get("/seen", seen),
         ]
     )
--- a/packages/standins/src/damasksaddle_standins/upstreams.py
+++ b/packages/standins/src/damasksaddle_standins/upstreams.py
@@ -4,8 +4,11 @@
 
 from damasksaddle.exceptions import UpstreamError
 from damasksaddle_node.upstreams import (
+    CacheEvent,
     EngineEvent,
+    EngineHoldings,
     EngineLoad,
+    EngineOrder,
     EngineRequest,
     PlainAnswer,
     PlainRequest,
@@ -45,3 +48,12 @@
 
     async def load(self, url: str) -> EngineLoad:
         return self._engine(url).load()
+
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
+        return self._engine(url).cache_events(after)
+
+    async def order(self, url: str, order: EngineOrder) -> None:
+        await self._engine(url).order(order)
+
+    async def holdings(self, url: str) -> EngineHoldings:
+        return self._engine(url).holdings()
