Check service documents at the border, with lines

Cause: a NUL byte in a document ended load_document with ReaderError and a text of 3,000 opening brackets with RecursionError; both reached the operators' interface as status 500. Checks between fields named line 1.

Change: the loader bounds size and depth on the event stream before anything is composed, refuses aliases, duplicate keys and text that is not UTF-8, and names the line of each problem. Checks between fields live in config/checks.py and run where a document enters; a replay of the fleet log skips them, so that a stricter release reads what an earlier one accepted. The operators' interface checks that each workspace that a route names is declared by some document, returns the version in force with a conflict, and answers 400 to malformed numbers and bodies. Program lists for operators hold no messages.

Ruled out: expanding aliases up to a limit; line numbers and the diff of versions would no longer show what is in force.

--- a/packages/core/src/damasksaddle/config/__init__.py
+++ b/packages/core/src/damasksaddle/config/__init__.py
@@ -1,5 +1,10 @@
 """Documents that operators write, checked at the border."""
 
+from damasksaddle.config.checks import (
+    OPEN_WORKSPACE,
+    document_warnings,
+    workspaces_needed,
+)
 from damasksaddle.config.documents import (
     Policy,
     Pool,
@@ -11,9 +16,15 @@
     Upstream,
     Workspace,
 )
-from damasksaddle.config.loader import load_document
+from damasksaddle.config.loader import (
+    MAX_DOCUMENT_BYTES,
+    decode_document,
+    load_document,
+)
 
 __all__ = [
+    "MAX_DOCUMENT_BYTES",
+    "OPEN_WORKSPACE",
     "Policy",
     "Pool",
     "ProgramLimits",
@@ -23,5 +34,8 @@
     "ServiceDocument",
     "Upstream",
     "Workspace",
+    "decode_document",
+    "document_warnings",
     "load_document",
+    "workspaces_needed",
 ]
--- a/packages/core/src/damasksaddle/config/documents.py
+++ b/packages/core/src/damasksaddle/config/documents.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import BaseModel, ConfigDict, Field
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
@@ -16,7 +16,7 @@
 class Part(BaseModel):
     """Base of all parts of a document."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class RouteKind(StrEnum):
@@ -85,13 +85,6 @@
         default=60.0, description="How long a program's cache is kept between calls."
     )
 
-    @model_validator(mode="after")
-    def _unique_upstreams(self) -> "Pool":
-        names = [upstream.name for upstream in self.upstreams]
-        if len(set(names)) != len(names):
-            raise ValueError("two upstreams have the same name")
-        return self
-
 
 class Route(Part):
     """A kind of call that callers can make."""
@@ -134,12 +127,3 @@
     routes: Annotated[dict[Name, Route], Field(min_length=1)]
     workspaces: dict[Name, Workspace] = {}
     program: ProgramLimits = ProgramLimits()
-
-    @model_validator(mode="after")
-    def _known_names(self) -> "ServiceDocument":
-        for name, route in self.routes.items():
-            if route.pool not in self.pools:
-                raise ValueError(f"route {name}: there is no pool {route.pool}")
-            if route.open and self.pools[route.pool].kind is RouteKind.MODEL:
-                raise ValueError(f"route {name}: a model route cannot be open")
-        return self
--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -232,6 +232,34 @@
     """No workspace key has this id."""
 
 
+class AdminError(DamasksaddleError):
+    """A failure that the operators' command line reports."""
+
+
+class AdminUnreachable(AdminError):
+    """No operators' interface could be reached; nothing was changed."""
+
+
+class AdminFateUnknown(AdminError):
+    """The answer to a change was lost; it may or may not have been recorded."""
+
+
+class AdminRefused(AdminError):
+    """The operators' interface refused a request; `problems` has one line each."""
+
+    def __init__(
+        self,
+        code: str,
+        detail: str,
+        problems: list[str] | None = None,
+        in_force: int | None = None,
+    ) -> None:
+        super().__init__(detail)
+        self.code = code
+        self.problems = problems or []
+        self.in_force = in_force
+
+
 class PlatformError(DamasksaddleError):
     """A failure of the platform's table, object store or VM list."""
 
--- a/packages/node/src/damasksaddle_node/fleet/state.py
+++ b/packages/node/src/damasksaddle_node/fleet/state.py
@@ -125,7 +125,7 @@
             record.text,
             record.operator,
             record.at_unix_s,
-            load_document(record.text),
+            load_document(record.text, recorded=True),
         )
         self.documents[record.service] = version
         self.history.setdefault(record.service, []).append(version)
--- a/packages/node/src/damasksaddle_node/http/admin.py
+++ b/packages/node/src/damasksaddle_node/http/admin.py
@@ -5,11 +5,19 @@
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
+from urllib.parse import unquote
 
 from aiohttp import hdrs, web
 
-from damasksaddle.config import load_document
+from damasksaddle.config import (
+    MAX_DOCUMENT_BYTES,
+    ServiceDocument,
+    decode_document,
+    load_document,
+    workspaces_needed,
+)
 from damasksaddle.exceptions import (
+    BadRequest,
     DocumentInvalid,
     KeyNotFound,
     KeyRejected,
@@ -33,6 +41,8 @@
 log = get_log("admin")
 
 OPERATOR_HEADER = "X-Operator"
+OPERATOR_LENGTH = 100
+VERSION_DIGITS = 9
 
 
 class AdminApi:
@@ -82,7 +92,10 @@
             token.encode(), self._token.encode()
         ):
             raise KeyRejected("the operator token is missing or wrong")
-        return await handler(request)
+        response = await handler(request)
+        # An answer may hold a new key.
+        response.headers["Cache-Control"] = "no-store"
+        return response
 
     async def list_documents(self, request: web.Request) -> web.Response:
         documents = self._fleet.state.documents.items()
@@ -107,11 +120,13 @@
 
     async def apply_document(self, request: web.Request) -> web.Response:
         service = request.match_info["service"]
-        text = await request.text()
-        operator = request.headers.get(OPERATOR_HEADER, "unknown")
-        expected = int(request.query.get("expected_version", "-1"))
+        data = await request.read()
+        operator = _operator(request)
+        expected = _version_number(request.query.get("expected_version"))
+        applied: dict[str, Any] = {"service": service}
 
         def check(state: FleetState) -> FleetRecord:
+            text = decode_document(data)
             document = load_document(text)
             if document.service != service:
                 raise DocumentInvalid(
@@ -119,14 +134,15 @@
                 )
             in_force = state.documents.get(service)
             version = in_force.version if in_force else 0
-            if expected >= 0 and expected != version:
+            if expected is not None and expected != version:
                 raise VersionConflict(service, expected, version)
-            _check_workspaces(state, service, set(document.workspaces))
+            _check_workspaces(state, document)
+            applied["version"] = version + 1
             return DocumentApplied(
                 service, version + 1, text, operator, int(time.time())
             )
 
-        return await self._change(check)
+        return await self._change(check, applied)
 
     async def _change(
         self, check: Check, extra: dict[str, Any] | None = None
@@ -136,7 +152,7 @@
         except DocumentInvalid as error:
             return _error(422, "document_invalid", str(error), error.problems)
         except VersionConflict as error:
-            return _error(409, "version_conflict", str(error))
+            return _error(409, "version_conflict", str(error), in_force=error.in_force)
         except KeyNotFound as error:
             return _error(404, "key_not_found", str(error))
         except PlatformError as error:
@@ -166,8 +182,8 @@
         )
 
     async def give_key(self, request: web.Request) -> web.Response:
-        workspace = str((await request.json()).get("workspace", ""))
-        operator = request.headers.get(OPERATOR_HEADER, "unknown")
+        workspace = await _workspace(request)
+        operator = _operator(request)
         key = make_key()
 
         def check(state: FleetState) -> FleetRecord:
@@ -182,7 +198,7 @@
 
     async def withdraw_key(self, request: web.Request) -> web.Response:
         key_id = request.match_info["key_id"]
-        operator = request.headers.get(OPERATOR_HEADER, "unknown")
+        operator = _operator(request)
 
         def check(state: FleetState) -> FleetRecord:
             if key_id not in state.keys:
@@ -230,7 +246,11 @@
 
     async def list_programs(self, request: web.Request) -> web.Response:
         lists = await self._entry.list_programs(request.query.get("workspace", ""))
-        return web.json_response([item for text in lists for item in json.loads(text)])
+        programs = [item for text in lists for item in json.loads(text)]
+        for program in programs:
+            # Operators see what programs do, not what they say.
+            program.pop("messages", None)
+        return web.json_response(programs)
 
     async def explain(self, request: web.Request) -> web.Response:
         body = await self._entry.query_as_operator(
@@ -253,28 +273,76 @@
     }
 
 
-def _check_workspaces(state: FleetState, service: str, names: set[str]) -> None:
-    """Raises `DocumentInvalid` if another document declares a workspace."""
-    for other, version in state.documents.items():
-        both = names & set(version.document.workspaces)
-        if other != service and both:
-            raise DocumentInvalid(
-                [
-                    f"line 1: workspaces: {name} is declared by {other}"
-                    for name in sorted(both)
-                ]
-            )
+def _operator(request: web.Request) -> str:
+    """Returns the name that a change is recorded with."""
+    name = unquote(request.headers.get(OPERATOR_HEADER, ""))
+    printable = "".join(c for c in name if c.isprintable())
+    return printable[:OPERATOR_LENGTH] or "unknown"
+
+
+def _version_number(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not text.isdecimal() or len(text) > VERSION_DIGITS:
+        raise BadRequest("expected_version is not a version number")
+    return int(text)
+
+
+async def _workspace(request: web.Request) -> str:
+    try:
+        return str((await request.json())["workspace"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise BadRequest('the body must be {"workspace": NAME}') from error
+
+
+def _check_workspaces(state: FleetState, document: ServiceDocument) -> None:
+    """
+    Raises `DocumentInvalid` if workspaces do not fit the other documents.
+
+    A workspace has one rate, so only one document declares it; a route can name
+    workspaces of any document.
+    """
+    declared = {
+        name: other
+        for other, version in state.documents.items()
+        if other != document.service
+        for name in version.document.workspaces
+    }
+    problems = [
+        f"line 1: workspaces: {name} is declared by {declared[name]}"
+        for name in sorted(set(document.workspaces) & set(declared))
+    ]
+    problems += [
+        f"line 1: routes.{route}: no document declares workspace {name!r}"
+        for name, route in workspaces_needed(document).items()
+        if name not in declared
+    ]
+    if problems:
+        raise DocumentInvalid(problems)
 
 
 def _error(
-    status: int, code: str, detail: str, problems: list[str] | None = None
+    status: int,
+    code: str,
+    detail: str,
+    problems: list[str] | None = None,
+    in_force: int | None = None,
 ) -> web.Response:
-    body = {"code": code, "detail": detail, "problems": problems or []}
+    body: dict[str, Any] = {
+        "code": code,
+        "detail": detail,
+        "problems": problems or [],
+    }
+    if in_force is not None:
+        body["in_force"] = in_force
     return web.json_response(body, status=status)
 
 
 def admin_app(api: AdminApi) -> web.Application:
     """Returns the operators' application."""
-    app = web.Application(middlewares=[refusals_as_problems, api.only_operators])
+    app = web.Application(
+        middlewares=[refusals_as_problems, api.only_operators],
+        client_max_size=2 * MAX_DOCUMENT_BYTES,
+    )
     app.add_routes(api.routes())
     return app
