Add the operators' command line

Cause: operators had only HTTP requests by hand.

Change: the package damasksaddle_cli with validate, apply, show, history, diff, keys give/withdraw/list, vms, partitions, upstreams, programs, dump, explain and completion. Settings are flags and DAMASKSADDLE_* variables; a wrong one gives one line and exit status 2. "accepted" is printed only if the interface says so; "recorded, not yet in force everywhere" has exit status 4 and names the missing VMs; a lost answer has exit status 5.

Seen failing: the aiohttp client repeated PUT by itself after the connection was lost (test_lost_answer_is_not_called_a_failure: POST, DELETE, PUT, PUT), which would record a document twice. A client middleware now raises an error of another type for changes, which is not repeated.

Ruled out: sending changes with POST only, because the interface would then say less about what a request does.

--- /dev/null
+++ b/packages/cli/src/damasksaddle_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of damasksaddle."""
--- /dev/null
+++ b/packages/cli/src/damasksaddle_cli/commands/changes.py
@@ -0,0 +1,34 @@
+"""How the outcome of a change is reported."""
+
+from typing import Any
+
+import click
+
+from damasksaddle_cli.options import EXIT_NOT_IN_FORCE, show
+
+
+def report_change(
+    answer: dict[str, Any], subject: str, as_format: str, err: bool = False
+) -> int:
+    """
+    Prints what became of a change and returns the exit status.
+
+    A change is "accepted" only if the operators' interface says that a majority of
+    the fleet has applied it. `err` leaves standard output to another result.
+    """
+    show(answer, as_format, lambda value: _text(value, subject), err=err)
+    return 0 if answer.get("accepted") is True else EXIT_NOT_IN_FORCE
+
+
+def _text(answer: dict[str, Any], subject: str) -> str:
+    if answer.get("accepted") is True:
+        return f"{subject}: accepted"
+    missing = ", ".join(answer.get("not_confirmed_by", [])) or "unknown"
+    return (
+        f"{subject}: recorded, not yet in force everywhere\nnot confirmed by: {missing}"
+    )
+
+
+def exit_with(status: int) -> None:
+    """Ends the command with an exit status."""
+    click.get_current_context().exit(status)
--- /dev/null
+++ b/packages/cli/src/damasksaddle_cli/commands/completion.py
@@ -0,0 +1,26 @@
+"""Shell completion."""
+
+import click
+from click.shell_completion import ShellComplete, get_completion_class
+
+PROGRAM = "damasksaddle"
+COMPLETE_VARIABLE = "_DAMASKSADDLE_COMPLETE"
+
+
+def completion_script(root: click.Command, shell: str) -> str:
+    """Returns the script that adds completion to a shell."""
+    kind = get_completion_class(shell)
+    assert kind is not None
+    # The subclass for bash would start a bash process to ask for its version.
+    return ShellComplete.source(kind(root, {}, PROGRAM, COMPLETE_VARIABLE))
+
+
+@click.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+@click.pass_context
+def completion(context: click.Context, shell: str) -> None:
+    """Prints the completion script of SHELL.
+
+    For example: eval "$(damasksaddle completion bash)"
+    """
+    click.echo(completion_script(context.find_root().command, shell))
--- /dev/null
+++ b/packages/cli/src/damasksaddle_cli/commands/documents.py
@@ -0,0 +1,175 @@
+"""Service documents: check, apply, show and compare versions."""
+
+import difflib
+from typing import Any, BinaryIO
+
+import click
+
+from damasksaddle.config import decode_document, document_warnings, load_document
+from damasksaddle.exceptions import AdminRefused, DocumentInvalid
+from damasksaddle_cli.client import AdminClient, admin_path
+from damasksaddle_cli.commands.changes import exit_with, report_change
+from damasksaddle_cli.options import EXIT_FAILED, format_option, pass_client, show
+from damasksaddle_cli.output import table, when
+
+SERVICE = click.argument("service")
+
+
+def find_problems(data: bytes) -> dict[str, Any]:
+    """Returns the service, problems and warnings of a document."""
+    try:
+        document = load_document(data)
+    except DocumentInvalid as error:
+        return {"service": None, "problems": error.problems, "warnings": []}
+    return {
+        "service": document.service,
+        "problems": [],
+        "warnings": document_warnings(document),
+    }
+
+
+def apply_document(
+    client: AdminClient, data: bytes, expected_version: int | None
+) -> dict[str, Any]:
+    """Applies a document to the service that it names; raises `DocumentInvalid`."""
+    document = load_document(data)
+    params = {}
+    if expected_version is not None:
+        params["expected_version"] = str(expected_version)
+    path = admin_path("documents", document.service)
+    return client.request("PUT", path, params=params, data=data)
+
+
+def read_version(
+    client: AdminClient, service: str, version: int | None = None
+) -> dict[str, Any]:
+    """Returns a version of a document; the one in force if none is given."""
+    params = {} if version is None else {"version": str(version)}
+    return client.request("GET", admin_path("documents", service), params=params)
+
+
+def compare(old: dict[str, Any], new: dict[str, Any]) -> str:
+    """Returns a unified diff of two versions."""
+    names = [f"{v['service']} {_label(v)}" for v in (old, new)]
+    lines = difflib.unified_diff(
+        old["text"].splitlines(),
+        new["text"].splitlines(),
+        names[0],
+        names[1],
+        lineterm="",
+    )
+    return "\n".join(lines)
+
+
+def _label(version: dict[str, Any]) -> str:
+    number = version["version"]
+    return f"version {number}" if isinstance(number, int) else str(number)
+
+
+@click.command()
+@click.argument("file", type=click.File("rb"))
+@format_option
+def validate(file: BinaryIO, as_format: str) -> None:
+    """Checks the service document in FILE ("-" is standard input).
+
+    Needs no operators' interface. Exits with 1 if there is a problem; warnings name
+    what another document must provide.
+    """
+    found = find_problems(file.read())
+
+    def text(value: dict[str, Any]) -> str:
+        lines = [f"{file.name}: {line}" for line in value["problems"]]
+        lines += [f"{file.name}: warning: {line}" for line in value["warnings"]]
+        return "\n".join(lines + ([] if value["problems"] else [f"{file.name}: valid"]))
+
+    show(found, as_format, text)
+    exit_with(EXIT_FAILED if found["problems"] else 0)
+
+
+@click.command()
+@click.argument("file", type=click.File("rb"))
+@click.option(
+    "--expected-version",
+    type=click.IntRange(min=0),
+    help="Apply only if this version is in force; 0 means that there is none.",
+)
+@format_option
+@pass_client
+def apply(
+    client: AdminClient, file: BinaryIO, expected_version: int | None, as_format: str
+) -> None:
+    """Applies the service document in FILE ("-" is standard input).
+
+    Exit status: 0 accepted; 1 invalid or refused; 3 another version is in force; 4
+    recorded, not yet in force everywhere; 5 the answer was lost.
+    """
+    data = file.read()
+    answer = apply_document(client, data, expected_version)
+    subject = f"{answer['service']} version {answer['version']}"
+    exit_with(report_change(answer, subject, as_format))
+
+
+@click.command()
+@click.argument("service", required=False)
+@click.option("--version", type=click.IntRange(min=1), help="Instead of the newest.")
+@format_option
+@pass_client
+def show_command(
+    client: AdminClient, service: str | None, version: int | None, as_format: str
+) -> None:
+    """Shows the document of SERVICE, or all services if none is given."""
+    if service is None:
+        show(client.request("GET", admin_path("documents")), as_format, _versions)
+        return
+    document = read_version(client, service, version)
+    show(document, as_format, lambda value: value["text"].rstrip("\n"))
+
+
+@click.command()
+@SERVICE
+@format_option
+@pass_client
+def history(client: AdminClient, service: str, as_format: str) -> None:
+    """Lists the versions of SERVICE's document."""
+    versions = client.request("GET", admin_path("documents", service, "history"))
+    if not versions:
+        raise AdminRefused("document_not_found", f"there is no document {service}")
+    show(versions, as_format, _versions)
+
+
+def _versions(versions: list[dict[str, Any]]) -> str:
+    return table(
+        ["service", "version", "applied", "operator"],
+        [
+            [v["service"], v["version"], when(v["at_unix_s"]), v["operator"]]
+            for v in versions
+        ],
+    )
+
+
+@click.command()
+@SERVICE
+@click.argument("old", type=click.IntRange(min=1), required=False)
+@click.argument("new", type=click.IntRange(min=1), required=False)
+@click.option("--file", type=click.File("rb"), help="Compare with this file.")
+@pass_client
+def diff(
+    client: AdminClient,
+    service: str,
+    old: int | None,
+    new: int | None,
+    file: BinaryIO | None,
+) -> None:
+    """Compares versions of SERVICE's document.
+
+    Without OLD and NEW, compares the version in force with the one before it, or
+    with FILE.
+    """
+    if file is not None:
+        before = read_version(client, service, old)
+        text = decode_document(file.read())
+        after = {"service": service, "version": file.name, "text": text}
+    else:
+        after = read_version(client, service, new)
+        before = read_version(client, service, old or max(1, after["version"] - 1))
+    click.echo(compare(before, after) or "no difference")
--- /dev/null
+++ b/packages/cli/src/damasksaddle_cli/commands/fleet.py
@@ -0,0 +1,98 @@
+"""Looking at the fleet: VMs, partitions, upstreams and a process's state."""
+
+from collections import defaultdict
+from typing import Any
+
+import click
+
+from damasksaddle_cli.client import AdminClient, admin_path
+from damasksaddle_cli.options import format_option, pass_client, show
+from damasksaddle_cli.output import echo_json, table
+
+
+def partitions_by_owner(found: list[dict[str, Any]]) -> list[list[Any]]:
+    """Returns one row per owner: its id, how many partitions, and which."""
+    owners: dict[str, list[int]] = defaultdict(list)
+    for item in found:
+        owners[item["owner"] or ""].append(item["partition"])
+    return [[owner, len(owners[owner]), owners[owner]] for owner in sorted(owners)]
+
+
+@click.command()
+@format_option
+@pass_client
+def vms(client: AdminClient, as_format: str) -> None:
+    """Lists the VMs of the roster."""
+
+    def text(found: list[dict[str, Any]]) -> str:
+        return table(
+            ["vm", "failure domain", "callers", "peers", "leaving"],
+            [
+                [
+                    vm["vm"],
+                    vm["failure_domain"],
+                    vm["http_url"],
+                    vm["peer_address"],
+                    vm["leaving"],
+                ]
+                for vm in found
+            ],
+        )
+
+    show(client.request("GET", admin_path("vms")), as_format, text)
+
+
+@click.command()
+@click.option("--owner", help="List the partitions of this VM.")
+@format_option
+@pass_client
+def partitions(client: AdminClient, owner: str | None, as_format: str) -> None:
+    """Shows how many partitions each VM owns."""
+    found = client.request("GET", admin_path("partitions"))
+    if owner is not None:
+        found = [item for item in found if item["owner"] == owner]
+
+    def text(found: list[dict[str, Any]]) -> str:
+        rows = partitions_by_owner(found)
+        lines = [table(["owner", "partitions"], [row[:2] for row in rows])]
+        if owner is not None:
+            lines += [" ".join(map(str, row[2])) for row in rows]
+        return "\n".join(lines)
+
+    show(found, as_format, text)
+
+
+@click.command()
+@click.option("--service", help="Only the upstreams of this service.")
+@format_option
+@pass_client
+def upstreams(client: AdminClient, service: str | None, as_format: str) -> None:
+    """Lists upstreams with the VM that schedules their pool."""
+    found = [
+        item
+        for item in client.request("GET", admin_path("upstreams"))
+        if service in (None, item["service"])
+    ]
+
+    def text(found: list[dict[str, Any]]) -> str:
+        names = ["name", "url", "failure_domain", "slots", "leaving", "scheduler"]
+        return table(
+            ["pool", *(name.replace("_", " ") for name in names)],
+            [
+                [f"{item['service']}/{item['pool']}", *(item[name] for name in names)]
+                for item in found
+            ],
+        )
+
+    show(found, as_format, text)
+
+
+@click.command()
+@pass_client
+def dump(client: AdminClient) -> None:
+    """Prints the state of one process as JSON.
+
+    It is the process behind the first --admin-url that answers. The state holds no
+    keys and no bodies.
+    """
+    echo_json(client.request("GET", admin_path("dump")))
--- /dev/null
+++ b/packages/cli/src/damasksaddle_cli/commands/programs.py
@@ -0,0 +1,93 @@
+"""Looking at programs: the list, and why each call of one went where it went."""
+
+from typing import Any
+
+import click
+
+from damasksaddle_cli.client import AdminClient, admin_path
+from damasksaddle_cli.options import format_option, pass_client, show
+from damasksaddle_cli.output import table
+
+
+def read_program(
+    client: AdminClient, workspace: str, program_id: str
+) -> dict[str, Any]:
+    """Returns a program with the trace of each call."""
+    path = admin_path("programs", workspace, program_id)
+    return client.request("GET", path)
+
+
+@click.command()
+@click.option("--workspace", help="Only the programs of this workspace.")
+@format_option
+@pass_client
+def programs(client: AdminClient, workspace: str | None, as_format: str) -> None:
+    """Lists programs that are held in memory by their owners."""
+    params = {"workspace": workspace} if workspace else {}
+    found = client.request("GET", admin_path("programs"), params=params)
+
+    def text(found: list[dict[str, Any]]) -> str:
+        names = ["workspace", "program_id", "service", "turns", "spent_micros"]
+        names += ["budget_micros", "partition", "ended"]
+        found = sorted(found, key=lambda p: (p["workspace"], p["program_id"]))
+        return table(
+            [name.replace("_", " ") for name in names],
+            [[item[name] for name in names] for item in found],
+        )
+
+    show(found, as_format, text)
+
+
+@click.command()
+@click.argument("workspace")
+@click.argument("program")
+@format_option
+@pass_client
+def explain(client: AdminClient, workspace: str, program: str, as_format: str) -> None:
+    """Explains the calls of PROGRAM of WORKSPACE.
+
+    For each call: the upstream and why it was chosen, what the call waited for (the
+    earlier call, the rate, the queue), when its first token came, and its cost in
+    millionths.
+    """
+    show(read_program(client, workspace, program), as_format, explanation)
+
+
+def explanation(program: dict[str, Any]) -> str:
+    """Returns a program's calls as a table under a summary."""
+    head = (
+        f"program {program['workspace']}/{program['program_id']} of "
+        f"{program['service']}: {program['ended'] or 'in progress'}\n"
+        f"spent {program['spent_micros']} of {program['budget_micros']} micros, "
+        f"{program['reserved_micros']} reserved\n"
+    )
+    calls = program["calls"]
+    rows = [
+        [
+            number,
+            call["route"],
+            call["upstream"],
+            call["reason"],
+            call["outcome"],
+            call["tries"],
+            call["order_wait_ms"],
+            call["rate_wait_ms"],
+            call["queue_wait_ms"],
+            call["first_token_ms"],
+            call["total_ms"],
+            f"{call['cached_tokens']}/{call['prompt_tokens']}",
+            call["output_tokens"],
+            call["charge_micros"],
+            call["owner_vm"],
+        ]
+        for number, call in enumerate(calls, 1)
+    ]
+    columns = ["#", "route", "upstream", "why", "outcome", "tries", "order ms"]
+    columns += ["rate ms", "queue ms", "first ms", "total ms", "cached", "out"]
+    columns += ["micros", "owner"]
+    totals = [
+        f"{name.removesuffix('_ms').replace('_', ' ')} "
+        f"{sum(call[name] for call in calls)} ms"
+        for name in ("order_wait_ms", "rate_wait_ms", "queue_wait_ms", "total_ms")
+    ]
+    return f"{head}{table(columns, rows)}\nsums: {', '.join(totals)}"
