Keep not_run truthful and calls at most once when VMs die

Further causes found by reading: one refusal object was shared by all calls that it ended; a refusal of a later try said not_run true for an earlier try; a call ran in a partition that had been lost while it waited; a lost answer to a close left the partition draining for good; an unexpected refusal of an append lost the partition; a stored answer claimed to be durable while the table was down; a stream that gave exactly the tokens asked for was cut before the engine's count arrived, so that its prompt was never charged. Change: calls are found again by a retry key (the idempotency key or the call id) under a lock of that key; a failed repeatable try keeps its id and the next one gets its own; CallFinished lists all engines that may hold memory; turns are numbered by what they add to the history. The stand-in fleet now kills a node as SIGKILL does: before, the killed node's background tasks went on writing records. Then a killed VM can also be the owner of the workspace's bucket, whose successor admits nothing for freshness_s (3 s), so test_path.py lets a request wait for 10 s instead of 2 s. Ruled out: charging the prompt at its upper bound when an engine is cut off before it tells its count; that bills for more than what ran.

--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -26,13 +26,17 @@
     A call that is answered with a problem instead of a result.
 
     `code` names the problem in the API and on the wire between nodes;
-    `retry_after_s` is set where a retry makes sense.
+    `retry_after_s` is set where a retry makes sense. `not_run` speaks of the
+    request that is refused; the entry VM adds by which `call_id` and `program_id`
+    it can be looked up.
     """
 
     code = "refused"
     status = 500
     title = "The request was refused."
     not_run = NotRun.YES
+    call_id = ""
+    program_id = ""
 
     def __init__(
         self,
@@ -78,6 +82,15 @@
     title = "The workspace has no such program."
 
 
+class CallNotFound(Refusal):
+    """No record of the call is left, which does not prove that it did not run."""
+
+    code = "call_not_found"
+    status = 404
+    title = "The workspace has no record of such a call."
+    not_run = NotRun.UNKNOWN
+
+
 class ProgramEnded(Refusal):
     code = "program_ended"
     status = 409
--- a/packages/node/src/damasksaddle_node/commit/client.py
+++ b/packages/node/src/damasksaddle_node/commit/client.py
@@ -7,15 +7,18 @@
     NotOwner,
     OwnerUnreachable,
     PeerError,
-    StoreUnavailable,
+    Refusal,
 )
 from damasksaddle.platform import RowSequence, Table
+from damasksaddle.utils import get_log
 from damasksaddle_node.commit.rows import Entry, EntryKind, load_row
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.peers import PeerPool
 from damasksaddle_node.settings import Timing
 from damasksaddle_protocol import Append, Appended
 
+log = get_log("commit")
+
 
 class CommitClient:
     """Access to the commit streams of the fleet."""
@@ -73,8 +76,9 @@
             except NotOwner as error:
                 if error.detail != "not the committer":
                     raise
-            except (PeerError, StoreUnavailable, OwnerUnreachable):
-                pass
+            except (PeerError, Refusal) as error:
+                # Only `NotOwner` tells that the records cannot become durable.
+                log.debug("An append is repeated.", partition=partition, reason=error)
             await asyncio.sleep(retry_s)
 
     async def entries(
--- a/packages/node/src/damasksaddle_node/entry.py
+++ b/packages/node/src/damasksaddle_node/entry.py
@@ -11,7 +11,7 @@
 from contextlib import aclosing
 from dataclasses import dataclass
 
-from damasksaddle.config import Repeat, Route, RouteKind
+from damasksaddle.config import Route, RouteKind
 from damasksaddle.exceptions import (
     BadRequest,
     FateUnknown,
@@ -23,6 +23,7 @@
     OwnerUnreachable,
     PeerError,
     PeerUnreachable,
+    Refusal,
     RouteForbidden,
     RouteNotFound,
     Stopping,
@@ -70,6 +71,13 @@
     history_mode: str = "append"
 
 
+@dataclass(slots=True)
+class _Tries:
+    """Whether an earlier try of a call may have reached its owner."""
+
+    maybe_sent: bool = False
+
+
 class Entry:
     """Admits callers' requests and forwards them to the owners of programs."""
 
@@ -112,7 +120,7 @@
         call = self._call_request(request, route)
         self.open_calls += 1
         try:
-            async with aclosing(self._forward(call, route)) as answers:
+            async with aclosing(self._forward(call)) as answers:
                 async for answer in answers:
                     yield answer
         finally:
@@ -154,11 +162,25 @@
         )
 
     async def _forward(
-        self, call: CallRequest, route: Route
+        self, call: CallRequest
+    ) -> AsyncGenerator[CallChunk | CallEnd, None]:
+        # A refusal of a later try does not speak of an earlier one.
+        earlier = _Tries()
+        try:
+            async with aclosing(self._try(call, earlier)) as answers:
+                async for answer in answers:
+                    yield answer
+        except Refusal as error:
+            if earlier.maybe_sent and error.not_run is NotRun.YES:
+                error.not_run = NotRun.UNKNOWN
+            error.call_id, error.program_id = call.call_id, call.program_id
+            raise
+
+    async def _try(
+        self, call: CallRequest, tries: "_Tries"
     ) -> AsyncGenerator[CallChunk | CallEnd, None]:
         loop = asyncio.get_running_loop()
         until_s = loop.time() + OWNER_WAIT_LEASES * self._timing.lease_s
-        maybe_sent = False
         while True:
             answered = False
             try:
@@ -169,22 +191,18 @@
                         yield answer  # type: ignore[misc]
                 return
             except (NotOwner, LeaseLapsed, NotFresh, Stopping) as error:
+                tries.maybe_sent |= error.not_run is not NotRun.YES
                 problem: Exception = error
             except PeerUnreachable as error:
-                maybe_sent = maybe_sent or error.sent
+                tries.maybe_sent |= error.sent
                 problem = error
             except PeerError as error:
-                maybe_sent = True
+                tries.maybe_sent = True
                 problem = error
             if answered:
                 raise FateUnknown("the answer was cut off by the failure of a VM")
             if loop.time() + RETRY_S >= until_s:
-                unknown = maybe_sent and route.repeat is Repeat.NEVER
-                raise OwnerUnreachable(
-                    str(problem),
-                    not_run=NotRun.UNKNOWN if unknown or maybe_sent else NotRun.YES,
-                    retry_after_s=1.0,
-                )
+                raise OwnerUnreachable(str(problem), retry_after_s=1.0)
             self._freshness.check()
             await asyncio.sleep(RETRY_S)
 
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -243,5 +243,6 @@
         """Stops all parts at once; `leave` comes before it in a planned stop."""
         for runner in self._runners:
             await runner.cleanup()
+        self.owner.abort()
         self.peers.close()
         await self.server.stop()
--- a/packages/node/src/damasksaddle_node/programs/context.py
+++ b/packages/node/src/damasksaddle_node/programs/context.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from damasksaddle.config import Pool, Route
-from damasksaddle.exceptions import Refusal
+from damasksaddle.exceptions import NotOwner, Refusal
 from damasksaddle.utils import digest_of
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.limits import Limiter
@@ -43,7 +43,11 @@
 
 @dataclass(slots=True)
 class Output:
-    """What an engine has produced for a call so far."""
+    """
+    What engines have produced for a call so far.
+
+    `engines` are those that may hold memory for it.
+    """
 
     text: str = ""
     tokens: int = 0
@@ -52,7 +56,7 @@
     finish_reason: str = "stop"
     first_token_s: float | None = None
     upstream: str = ""
-    started: bool = False
+    engines: set[str] = field(default_factory=set)
 
 
 @dataclass(eq=False, slots=True)
@@ -61,7 +65,9 @@
     One call, where it runs, and how far it is.
 
     `interruptible` is False from when the outcome must be recorded; `events` holds
-    the answer on its way to the caller.
+    the answer on its way to the caller. `sent` is True once the call may have
+    reached an upstream. `retry_key` finds the call again: it is the caller's
+    idempotency key, or else the call id that the entry VM keeps through its tries.
     """
 
     services: Services
@@ -77,8 +83,11 @@
     events: "asyncio.Queue[Event]" = field(default_factory=asyncio.Queue)
     stop_reason: Refusal | None = None
     interruptible: bool = True
+    sent: bool = False
+    retry_key: str = field(init=False)
 
     def __post_init__(self) -> None:
+        self.retry_key = self.call.idempotency_key or self.call.call_id
         self.digest = digest_of(self.call.body)
         self.trace = Trace(
             entry_vm=self.call.entry_vm, owner_vm=self.partition.commits.vm_id
@@ -102,6 +111,12 @@
         """The pool's name over all services."""
         return f"{self.call.service}/{self.route.pool}"
 
+    def check_holder(self) -> None:
+        """Raises `Refusal` unless this VM may act for the program now."""
+        self.services.guard()
+        if self.partition.lost:
+            raise NotOwner
+
     async def place(
         self, prompt_bytes: int, max_tokens: int, excluded: list[str]
     ) -> Placed:
--- a/packages/node/src/damasksaddle_node/programs/model.py
+++ b/packages/node/src/damasksaddle_node/programs/model.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import json
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from typing import Any
 
 from damasksaddle.exceptions import (
     BadRequest,
+    FateUnknown,
     HistoryMismatch,
     NotRun,
+    Refusal,
     UpstreamError,
     UpstreamFailed,
     UpstreamUnavailable,
@@ -72,54 +74,59 @@
 
     async def run(self, reserved_micros: int) -> CallFinished:
         """Returns the record of the call, not queued yet; raises `Refusal`."""
+        context = self._context
         body = self._chat()
         added = self._new_messages(body)
-        outcome, failure = Outcome.OK, None
+        outcome = Outcome.OK
+        failure: Refusal | None = None
         try:
             await self._generate(body, added)
         except asyncio.CancelledError:
             task = asyncio.current_task()
-            if self._context.stop_reason is None or task is None:
+            if context.stop_reason is None or task is None:
                 raise
             task.uncancel()
-            outcome, failure = Outcome.CANCELLED, self._context.stop_reason
-        except UpstreamFailed as error:
+            outcome, failure = Outcome.CANCELLED, context.stop_reason
+        except Refusal as error:
             outcome, failure = Outcome.FAILED, error
-        if not self._context.output.started:
+        if failure is None:
+            return self._record(outcome, added, reserved_micros)
+        context.interruptible = False
+        if not context.sent:
             # No engine took the call, so it did not run and is not charged.
-            failure = failure or UpstreamUnavailable()
             failure.not_run = NotRun.YES
             raise failure
+        failure.not_run = NotRun.NO if context.output.tokens else NotRun.UNKNOWN
         record = self._record(outcome, added, reserved_micros)
-        if failure is not None:
-            self._context.interruptible = False
-            failure.not_run = NotRun.NO
-            await wait_durable(self._context, self._context.partition.add(record))
-            raise failure
-        return record
+        if not context.partition.lost:
+            with suppress(FateUnknown):
+                await wait_durable(context, context.partition.add(record))
+        raise failure
 
     async def _generate(self, body: dict[str, Any], added: list[str]) -> None:
+        context = self._context
         excluded: list[str] = []
         max_tokens = self._max_tokens(body)
-        for number in range(1, MAX_TRIES + 1):
-            self._context.note(tries=number)
-            placed = await self._context.place(
-                self._prompt_bytes(body), max_tokens, excluded
-            )
+        tries = min(MAX_TRIES, len(context.pool.upstreams))
+        for number in range(1, tries + 1):
+            context.note(tries=number)
+            placed = await context.place(self._prompt_bytes(body), max_tokens, excluded)
             try:
                 await self._stream(placed, added, max_tokens)
                 return
             except UpstreamError as error:
                 log.warning(
                     "An engine failed a call.",
-                    call=self._context.call.call_id,
+                    call=context.call.call_id,
                     upstream=placed.upstream,
                     reason=error,
                 )
                 excluded.append(placed.upstream)
-                if error.sent:
-                    self._context.output.started = True
-        if self._context.output.started:
+            if context.output.tokens >= max_tokens:
+                # Only the engine's closing message is missing.
+                context.output.finish_reason = "length"
+                return
+        if context.sent:
             raise UpstreamFailed
         raise UpstreamUnavailable(retry_after_s=1.0)
 
@@ -133,12 +140,21 @@
         output = self._context.output
         before = output.tokens
         try:
+            self._context.check_holder()
             # The engine may act on the call from here on.
-            self._context.services.guard()
+            sent_before, self._context.sent = self._context.sent, True
             output.upstream = placed.upstream
             await self._relay(placed.url, added, max_tokens)
-        except UpstreamError:
+            output.engines.add(placed.upstream)
+        except UpstreamError as error:
             finish.failed = True
+            if error.sent:
+                output.engines.add(placed.upstream)
+            else:
+                self._context.sent = sent_before
+            raise
+        except asyncio.CancelledError:
+            output.engines.add(placed.upstream)
             raise
         finally:
             finish.served_tokens = output.tokens - before
@@ -167,12 +183,13 @@
         async with aclosing(events) as stream:
             async for event in stream:
                 match event:
+                    case EngineToken() if output.tokens >= max_tokens:
+                        # An engine that generates more than asked is cut off,
+                        # before it has told its count of the prompt.
+                        output.finish_reason = "length"
+                        return
                     case EngineToken(text):
                         self._on_token(text)
-                        if output.tokens >= max_tokens:
-                            # An engine that generates more than asked is cut off.
-                            output.finish_reason = "length"
-                            return
                     case EngineDone():
                         output.prompt_tokens = event.prompt_tokens
                         output.cached_tokens = event.cached_tokens
@@ -181,7 +198,6 @@
 
     def _on_token(self, text: str) -> None:
         output = self._context.output
-        output.started = True
         if output.first_token_s is None:
             output.first_token_s = self._context.now_s()
             self._context.note(first_token_ms=self._context.elapsed_ms())
@@ -210,5 +226,5 @@
             messages=messages,
             charge_micros=min(charge, reserved_micros),
             upstream=output.upstream,
-            held=not self._context.call.end_program,
+            engines=sorted(output.engines),
         )
--- a/packages/node/src/damasksaddle_node/programs/outcome.py
+++ b/packages/node/src/damasksaddle_node/programs/outcome.py
@@ -28,7 +28,8 @@
     content_type: str = JSON,
     messages: list[str] | None = None,
     charge_micros: int = 0,
-    held: bool = False,
+    engines: list[str] | None = None,
+    reserved_micros: int = 0,
 ) -> CallFinished:
     """Returns the record of a call's end."""
     context.note(total_ms=context.elapsed_ms())
@@ -37,7 +38,7 @@
         workspace=context.call.workspace,
         program_id=context.program.program_id,
         call_id=context.call.call_id,
-        idempotency_key=context.call.idempotency_key,
+        idempotency_key=context.retry_key,
         body_digest=context.digest,
         route=context.call.route,
         upstream=upstream,
@@ -50,10 +51,11 @@
         prompt_tokens=context.output.prompt_tokens,
         output_tokens=context.output.tokens,
         cached_tokens=context.output.cached_tokens,
-        sequence=context.program.sequence + 1,
+        sequence=context.program.sequence + bool(messages),
         at_unix_s=int(time.time()),
         trace=context.trace,
-        held=held,
+        engines=engines or [],
+        reserved_micros=reserved_micros,
     )
 
 
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -4,7 +4,7 @@
 import json
 import time
 from collections.abc import AsyncGenerator
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from dataclasses import asdict
 from typing import Any
 
@@ -224,7 +224,10 @@
         partition.draining = True
         await partition.idle()
         if not partition.lost:
-            await self._commits.append_until_known(number, [], partition.opened_at)
+            # It is closed as well if an earlier try closed it and its answer was
+            # lost, or if another holder opened it meanwhile.
+            with suppress(NotOwner):
+                await self._commits.append_until_known(number, [], partition.opened_at)
             partition.lose(NotOwner())
         self.partitions.pop(number, None)
         log.info("Partition handed over.", partition=number)
@@ -233,6 +236,11 @@
         """Gives up all partitions, in a planned stop."""
         await asyncio.gather(*(self.close(number) for number in list(self.partitions)))
 
+    def abort(self) -> None:
+        """Ends the background tasks; what is not durable yet is lost."""
+        for task in list(self._tasks):
+            task.cancel()
+
     def stop_all(self, reason: Refusal) -> None:
         """Ends all calls that may be interrupted."""
         for run in list(self.runs):
@@ -342,8 +350,9 @@
         prompt_tokens=0,
         output_tokens=0,
         cached_tokens=0,
-        sequence=program.sequence + 1,
+        sequence=program.sequence,
         at_unix_s=int(time.time()),
+        reserved_micros=intent.reserved_micros,
         trace=Trace(reason="the owner died before the outcome was recorded"),
     )
 
--- a/packages/node/src/damasksaddle_node/programs/partition.py
+++ b/packages/node/src/damasksaddle_node/programs/partition.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from weakref import WeakValueDictionary
 
 from damasksaddle.exceptions import NotOwner, Refusal
 from damasksaddle.utils import get_log
@@ -43,6 +44,9 @@
     draining: bool = False
     running: int = 0
     waiting: list[Waiting] = field(default_factory=list)
+    _key_locks: WeakValueDictionary[tuple[str, ...], asyncio.Lock] = field(
+        default_factory=WeakValueDictionary
+    )
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _idle: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -62,6 +66,21 @@
             item.done.set_exception(NotOwner())
         return item
 
+    def waiting_for(self, record: ProgramRecord) -> Waiting | None:
+        """Returns the item of a record that is not durable yet."""
+        return next((item for item in self.waiting if item.record is record), None)
+
+    def key_lock(self, key: tuple[str, ...]) -> asyncio.Lock:
+        """
+        Returns the lock of a retry key.
+
+        A root program and its sub-agents share their keys but run at the same time.
+        """
+        lock = self._key_locks.get(key)
+        if lock is None:
+            lock = self._key_locks[key] = asyncio.Lock()
+        return lock
+
     def withdraw(self, item: Waiting) -> bool:
         """Takes back a record that was not sent yet; returns False if it was."""
         if item.sent or item not in self.waiting:
--- a/packages/node/src/damasksaddle_node/programs/plain.py
+++ b/packages/node/src/damasksaddle_node/programs/plain.py
@@ -1,11 +1,13 @@
 """Calls to plain services."""
 
+import asyncio
 from contextlib import suppress
 
 from damasksaddle.config import Repeat
 from damasksaddle.exceptions import (
     FateUnknown,
     NotOwner,
+    NotRun,
     Refusal,
     StoreUnavailable,
     UpstreamError,
@@ -50,10 +52,10 @@
                     raise FateUnknown(
                         "the call was sent, and no answer came"
                     ) from error
-                if error.sent:
-                    self._context.output.started = True
-        if self._context.output.started:
-            raise UpstreamFailed
+        if self._context.sent:
+            raise UpstreamFailed(
+                "no upstream answered the call", not_run=NotRun.UNKNOWN
+            )
         raise UpstreamUnavailable(retry_after_s=1.0)
 
     async def _call_plain(self, placed: Placed, reserved_micros: int) -> PlainAnswer:
@@ -69,7 +71,8 @@
                 await self._intend(placed, reserved_micros)
                 # From here on the outcome must be recorded.
                 self._context.interruptible = False
-            await self._guard_send(placed, never)
+            self._guard_send(placed, never)
+            sent_before, self._context.sent = self._context.sent, True
             request = PlainRequest(
                 self._context.call.call_id,
                 self._context.route.path,
@@ -80,22 +83,22 @@
             return await self._context.services.upstreams.call(placed.url, request)
         except UpstreamError as error:
             finish.failed = True
-            if never and not error.sent:
-                await self._abandon(placed)
+            if not error.sent:
+                self._context.sent = sent_before
+                if never:
+                    self._abandon(placed)
             raise
         finally:
             finish.total_ms = int((self._context.now_s() - started_s) * MS)
             self._context.services.pools.finish(finish)
 
-    async def _guard_send(self, placed: Placed, never: bool) -> None:
+    def _guard_send(self, placed: Placed, never: bool) -> None:
         """Raises `Refusal` unless this VM may send the call now."""
         try:
-            self._context.services.guard()
-            if self._context.partition.lost:
-                raise NotOwner
+            self._context.check_holder()
         except Refusal:
             if never and not self._context.partition.lost:
-                await self._abandon(placed)
+                self._abandon(placed)
             raise
 
     async def _intend(self, placed: Placed, reserved_micros: int) -> None:
@@ -105,7 +108,7 @@
             self._context.call.workspace,
             self._context.program.program_id,
             self._context.call.call_id,
-            self._context.call.idempotency_key,
+            self._context.retry_key,
             self._context.digest,
             self._context.call.route,
             placed.upstream,
@@ -117,13 +120,16 @@
                 return
         except FateUnknown as error:
             raise NotOwner from error
+        except asyncio.CancelledError:
+            self._abandon(placed)
+            raise
         self._context.partition.withdraw(waiting)
-        await self._abandon(placed)
+        self._abandon(placed)
         raise StoreUnavailable(
             "the call's intent could not be made durable", retry_after_s=1.0
         )
 
-    async def _abandon(self, placed: Placed) -> None:
+    def _abandon(self, placed: Placed) -> None:
         """Records that an intended call was certainly not sent."""
         self._context.partition.add(
             finished_record(
@@ -133,7 +139,11 @@
 
     async def _record_unknown(self, placed: Placed) -> None:
         record = finished_record(
-            self._context, Outcome.UNKNOWN, body="", upstream=placed.upstream
+            self._context,
+            Outcome.UNKNOWN,
+            body="",
+            upstream=placed.upstream,
+            reserved_micros=self.cost_at_most(),
         )
         with suppress(FateUnknown):
             await wait_durable(self._context, self._context.partition.add(record))
--- a/packages/node/src/damasksaddle_node/programs/records.py
+++ b/packages/node/src/damasksaddle_node/programs/records.py
@@ -66,8 +66,10 @@
     """
     A call ended. This record is also the charge: there is one per call id.
 
-    `messages` are what the call adds to the history, as JSON texts; `held` tells
-    whether the engine keeps memory for the program.
+    `messages` are what the call adds to the history, as JSON texts; `sequence`
+    numbers the calls that add something. `engines` may hold memory for the
+    program. `reserved_micros` is what a call of unknown outcome may
+    still cost; a later record with the same call id may settle it.
     """
 
     record_id: str
@@ -90,7 +92,8 @@
     sequence: int
     at_unix_s: int
     trace: Trace
-    held: bool = False
+    engines: list[str] = Field(default_factory=list)
+    reserved_micros: int = 0
     kind: Literal["call_finished"] = "call_finished"
 
 
--- a/packages/node/src/damasksaddle_node/programs/run.py
+++ b/packages/node/src/damasksaddle_node/programs/run.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
+from copy import copy
+from dataclasses import replace
 
 from damasksaddle.config import ProgramLimits, Repeat, RouteKind
 from damasksaddle.exceptions import (
@@ -13,6 +15,7 @@
     NotRun,
     ProgramEnded,
     Refusal,
+    Stopping,
     StoreUnavailable,
     TurnsExceeded,
 )
@@ -68,7 +71,8 @@
         """Ends the call early, unless it must not be interrupted any more."""
         context = self._context
         if context.interruptible and not self.task.done():
-            context.stop_reason = reason
+            # One reason may end many calls, and each has its own `not_run`.
+            context.stop_reason = copy(reason)
             context.interruptible = False
             self.task.cancel()
 
@@ -90,10 +94,15 @@
         except Refusal as error:
             context.events.put_nowait(error)
         except asyncio.CancelledError:
-            reason = context.stop_reason or DeadlineExceeded("the VM stopped")
+            reason = context.stop_reason or Stopping()
+            reason.not_run = NotRun.UNKNOWN if context.sent else NotRun.YES
             context.events.put_nowait(reason)
         except Exception as error:
-            log.error("A call failed in the node.", call=self.call.call_id, error=error)
+            log.error(
+                "A call failed in the node.",
+                call=self.call.call_id,
+                error=repr(error),
+            )
             context.events.put_nowait(
                 FateUnknown("internal error", not_run=NotRun.UNKNOWN)
             )
@@ -103,54 +112,56 @@
 
     async def _in_order(self) -> CallEnd:
         context = self._context
-        async with context.program.lock:
+        partition = context.partition
+        async with context.program.lock, partition.key_lock(self._retry_scope()):
             context.note(order_wait_ms=context.elapsed_ms())
-            earlier = self._earlier_outcome()
-            if earlier is not None:
-                return earlier
-            self._check_program()
-            rate_wait_s = await context.services.limiter.acquire(self.call.workspace)
-            context.note(rate_wait_ms=int(rate_wait_s * MS))
-            record = await self._within_budget()
-            context.interruptible = False
-            waiting = context.partition.add(record)
-            if self.call.end_program:
-                self._end_program()
-        durable = await wait_durable(context, waiting)
-        return call_end(context, record, durable)
+            context.check_holder()
+            earlier = self._earlier_record()
+            record = earlier or await self._run_once()
+            waiting = partition.waiting_for(record)
+        durable = waiting is None or await wait_durable(context, waiting)
+        return call_end(context, record, durable, replayed=earlier is not None)
+
+    async def _run_once(self) -> CallFinished:
+        context = self._context
+        self._check_program()
+        rate_wait_s = await context.services.limiter.acquire(self.call.workspace)
+        context.note(rate_wait_ms=int(rate_wait_s * MS))
+        record = await self._within_budget()
+        context.interruptible = False
+        context.partition.add(record)
+        if self.call.end_program:
+            self._end_program()
+        return record
+
+    def _retry_scope(self) -> tuple[str, str, str]:
+        root = root_of(self._context.program.program_id)
+        return (self.call.workspace, root, self._context.retry_key)
 
-    def _earlier_outcome(self) -> CallEnd | None:
+    def _earlier_record(self) -> CallFinished | None:
         """
-        Returns the stored answer if this call was made before.
+        Returns the record of this call if it was made before.
 
         An entry VM repeats a call with the same call id when it lost the owner; a
         caller repeats it with the same idempotency key.
         """
         context = self._context
-        call_id = self._earlier_call_id()
+        state = context.partition.state
+        call_id = state.by_idempotency_key.get(self._retry_scope())
         if call_id is None:
             return None
-        record = context.partition.state.finished.get(call_id)
+        record = state.finished.get(call_id)
         if record is None:
             raise FateUnknown("an earlier try of this call has no known outcome")
         if record.body_digest != context.digest or record.route != self.call.route:
             raise IdempotencyMismatch
         if record.outcome is Outcome.UNKNOWN:
             raise FateUnknown(f"call {call_id} was sent; its outcome is not known")
-        if record.outcome is not Outcome.OK and context.route.repeat is Repeat.SAFE:
-            return None
-        return call_end(context, record, durable=True, replayed=True)
-
-    def _earlier_call_id(self) -> str | None:
-        state = self._context.partition.state
-        call_id = self.call.call_id
-        if call_id in state.finished or call_id in state.intents:
-            return call_id
-        if not self.call.idempotency_key:
-            return None
-        root = root_of(self._context.program.program_id)
-        key = (self.call.workspace, root, self.call.idempotency_key)
-        return state.by_idempotency_key.get(key)
+        if record.outcome is Outcome.OK or context.route.repeat is Repeat.NEVER:
+            return record
+        # The failed try keeps its own id and charge.
+        context.call = replace(self.call, call_id=new_id("call"))
+        return None
 
     def _check_program(self) -> None:
         """Raises `Refusal` unless the program may make another call."""
--- a/packages/node/src/damasksaddle_node/programs/state.py
+++ b/packages/node/src/damasksaddle_node/programs/state.py
@@ -26,16 +26,26 @@
 
 @dataclass(slots=True)
 class Account:
-    """The budget of a root program and its sub-agents, in millionths."""
+    """
+    The budget of a root program and its sub-agents, in millionths.
+
+    `unknown_micros` is set aside for calls whose outcome may still be settled.
+    """
 
     budget_micros: int
     spent_micros: int = 0
     reserved_micros: int = 0
+    unknown_micros: int = 0
 
     @property
     def free_micros(self) -> int:
         """What may still be reserved."""
-        return self.budget_micros - self.spent_micros - self.reserved_micros
+        return (
+            self.budget_micros
+            - self.spent_micros
+            - self.reserved_micros
+            - self.unknown_micros
+        )
 
 
 @dataclass(slots=True)
@@ -81,6 +91,7 @@
     accounts: dict[ProgramKey, Account] = field(default_factory=dict)
     intents: dict[str, CallIntended] = field(default_factory=dict)
     finished: dict[str, CallFinished] = field(default_factory=dict)
+    unknown: dict[str, CallFinished] = field(default_factory=dict)
     by_idempotency_key: dict[tuple[str, str, str], str] = field(default_factory=dict)
     _seen: set[str] = field(default_factory=set)
 
@@ -129,7 +140,13 @@
         return (record.workspace, root, record.idempotency_key)
 
     def _finish_call(self, record: CallFinished) -> None:
-        if record.call_id in self.finished:
+        program = self.programs.get((record.workspace, record.program_id))
+        if program is None:
+            return
+        earlier = self.finished.get(record.call_id)
+        if earlier is not None:
+            if earlier.call_id in self.unknown and record.outcome is Outcome.OK:
+                self._settle(program, earlier, record)
             return
         self.intents.pop(record.call_id, None)
         if record.outcome is Outcome.NOT_RUN:
@@ -137,16 +154,35 @@
             return
         self.finished[record.call_id] = record
         self._remember_key(record)
-        program = self.programs[(record.workspace, record.program_id)]
-        program.messages.extend(record.messages)
-        program.sequence = max(program.sequence, record.sequence)
-        program.attained_tokens += record.prompt_tokens + record.output_tokens
         program.calls.append(record)
+        self._extend_history(program, record)
+        program.attained_tokens += record.prompt_tokens + record.output_tokens
         if record.outcome is Outcome.OK:
             program.upstream = record.upstream
-        if record.held:
-            program.engines.add(record.upstream)
+        program.engines.update(record.engines)
+        account = self.account(record.workspace, record.program_id)
+        account.spent_micros += record.charge_micros
+        if record.outcome is Outcome.UNKNOWN:
+            self.unknown[record.call_id] = record
+            account.unknown_micros += record.reserved_micros
+
+    @staticmethod
+    def _extend_history(program: Program, record: CallFinished) -> None:
+        # A turn whose number is taken ran besides the history that was kept: its
+        # charge and its answer count, its messages do not.
+        if record.messages and record.sequence == program.sequence + 1:
+            program.messages.extend(record.messages)
+            program.sequence = record.sequence
+
+    def _settle(
+        self, program: Program, earlier: CallFinished, record: CallFinished
+    ) -> None:
+        """Replaces an unknown outcome by the one that the upstream reported."""
+        del self.unknown[earlier.call_id]
+        self.finished[record.call_id] = record
+        program.calls[program.calls.index(earlier)] = record
         account = self.account(record.workspace, record.program_id)
+        account.unknown_micros -= earlier.reserved_micros
         account.spent_micros += record.charge_micros
 
     def account(self, workspace: str, program_id: str) -> Account:
--- a/packages/standins/src/damasksaddle_standins/fleet.py
+++ b/packages/standins/src/damasksaddle_standins/fleet.py
@@ -15,7 +15,12 @@
 from damasksaddle_node.settings import Settings, Timing
 from damasksaddle_protocol import CallChunk, CallEnd
 from damasksaddle_standins.network import MemoryNetwork
-from damasksaddle_standins.platform import MemoryObjects, MemoryTable, MemoryVmList
+from damasksaddle_standins.platform import (
+    MemoryObjects,
+    MemoryTable,
+    MemoryVmList,
+    TableView,
+)
 from damasksaddle_standins.upstreams import LocalUpstreams
 
 SECRET = "fleet secret of the tests"
@@ -42,6 +47,7 @@
         self.network = MemoryNetwork(delay_s)
         self.upstreams = LocalUpstreams()
         self.nodes: dict[str, Node] = {}
+        self._tables: dict[str, TableView] = {}
         self._size = size
         self._timing = timing or Timing()
         self._failure_domains = failure_domains
@@ -66,9 +72,10 @@
             operator_token="operator",
             timing=self._timing,
         )
+        table = self.table.view(name)
         node = Node(
             replace(settings, **changes),
-            self.table.view(name),
+            table,
             self.objects,
             self.vm_list,
             self.upstreams,
@@ -76,6 +83,7 @@
             http=False,
         )
         self.nodes[name] = node
+        self._tables[name] = table
         self.vm_list.set([ListedVm(vm, vm, False) for vm in self.nodes])
         await node.start()
         return node
@@ -83,6 +91,9 @@
     async def kill(self, name: str) -> None:
         """Ends a node at once; its streams break and nothing is handed over."""
         node = self.nodes.pop(name)
+        # First nothing more gets out of the node, then its tasks end.
+        self.network.kill(name)
+        self._tables[name].dead = True
         for run in list(node.owner.runs):
             run.task.cancel()
         await node.stop()
--- a/packages/standins/src/damasksaddle_standins/network.py
+++ b/packages/standins/src/damasksaddle_standins/network.py
@@ -10,21 +10,22 @@
     def __init__(
         self, network: "MemoryNetwork", link: frozenset[str], far: asyncio.StreamReader
     ) -> None:
+        self.link = link
         self._network = network
-        self._link = link
         self._far = far
         self._closed = False
+        self._broken = False
 
     def write(self, data: bytes) -> None:
         if self._closed:
             raise ConnectionResetError("the stream is closed")
-        if self._link in self._network.cut:
+        if self._broken or self.link in self._network.cut:
             return
         loop = asyncio.get_running_loop()
         loop.call_later(self._network.delay_s, self._deliver, data)
 
     def _deliver(self, data: bytes) -> None:
-        if self._link not in self._network.cut and not self._far.at_eof():
+        if self.link not in self._network.cut and not self._far.at_eof():
             try:
                 self._far.feed_data(data)
             except AssertionError:
@@ -34,6 +35,11 @@
     async def drain(self) -> None:
         return
 
+    def reset(self) -> None:
+        """Ends the stream as the death of its writer does: nothing more is sent."""
+        self._broken = True
+        self.close()
+
     def close(self) -> None:
         if not self._closed:
             self._closed = True
@@ -56,6 +62,7 @@
         self.cut: set[frozenset[str]] = set()
         self._accept: dict[str, Accept] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: list[MemoryWriter] = []
 
     def as_node(self, name: str) -> "NodeNetwork":
         """Returns the network of one node."""
@@ -69,6 +76,14 @@
         """Ends all cuts."""
         self.cut.clear()
 
+    def kill(self, name: str) -> None:
+        """Ends all streams of a node at once, without what it writes from now on."""
+        self._accept.pop(name, None)
+        for writer in self._writers:
+            if name in writer.link:
+                writer.reset()
+        self._writers = [w for w in self._writers if name not in w.link]
+
     async def dial(
         self, source: str, target: str
     ) -> tuple[asyncio.StreamReader, MemoryWriter]:
@@ -79,12 +94,12 @@
         if target not in self._accept:
             raise ConnectionRefusedError(target)
         near, far = asyncio.StreamReader(), asyncio.StreamReader()
-        task = asyncio.ensure_future(
-            self._accept[target](far, MemoryWriter(self, link, near))
-        )
+        back, forth = MemoryWriter(self, link, near), MemoryWriter(self, link, far)
+        self._writers += [back, forth]
+        task = asyncio.ensure_future(self._accept[target](far, back))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return near, MemoryWriter(self, link, far)
+        return near, forth
 
 
 class NodeNetwork:
--- a/packages/standins/src/damasksaddle_standins/platform.py
+++ b/packages/standins/src/damasksaddle_standins/platform.py
@@ -19,11 +19,13 @@
     What is wrong with a service at the moment.
 
     `lose_answers` writes are carried out although their answer is lost;
-    `unreachable_for` names clients that are cut off.
+    `unreachable_for` names clients that are cut off. `answer_delay_s` passes
+    between a write's effect and its answer.
     """
 
     down: bool = False
     delay_s: float = 0.0
+    answer_delay_s: float = 0.0
     lose_answers: int = 0
     unreachable_for: set[str] = field(default_factory=set)
 
@@ -62,6 +64,8 @@
                 raise RowTaken(put.key)
         for put in puts:
             self._put(put, write_id)
+        if self.faults.answer_delay_s:
+            await asyncio.sleep(self.faults.answer_delay_s)
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             raise AnswerLost("the answer was dropped")
@@ -86,16 +90,24 @@
     """One client's view of a `MemoryTable`."""
 
     def __init__(self, table: MemoryTable, client: str) -> None:
+        self.dead = False
         self._table = table
         self._client = client
 
+    def _alive(self) -> None:
+        if self.dead:
+            raise TableUnavailable("the client was killed")
+
     async def get(self, key: str) -> Row | None:
+        self._alive()
         return await self._table.get(key, self._client)
 
     async def scan(self, prefix: str, after: str = "", limit: int = 500) -> list[Row]:
+        self._alive()
         return await self._table.scan(prefix, after, limit, self._client)
 
     async def write(self, puts: list[Put], write_id: str) -> None:
+        self._alive()
         await self._table.write(puts, write_id, self._client)
 
 
--- /dev/null
+++ b/tests/node/programs/conftest.py
@@ -0,0 +1,133 @@
+"""Sessions of callers, written down together with what the stand-ins saw."""
+
+import json
+import re
+from contextlib import asynccontextmanager
+
+import pytest
+
+from damasksaddle.exceptions import Refusal
+from damasksaddle.utils import partition_of
+from damasksaddle_node.entry import CallerRequest
+from damasksaddle_standins import ModelEngine, ToolService
+from damasksaddle_standins.engine import EngineSettings
+from damasksaddle_standins.fleet import LocalFleet
+
+DOCUMENT = """
+service: desk
+pools:
+  writer:
+    kind: model
+    model: lv
+    prompt_micros_per_ktoken: 1000
+    output_micros_per_ktoken: 2000
+    upstreams:
+      - {name: run-1, url: "http://run-1", failure_domain: a}
+      - {name: run-2, url: "http://run-2", failure_domain: b}
+  filing:
+    kind: plain
+    call_micros: 50
+    upstreams:
+      - {name: tool-1, url: "http://tool-1", failure_domain: a}
+routes:
+  chat: {pool: writer}
+  look: {pool: filing, path: /look}
+  file: {pool: filing, path: /file, repeat: never, timeout_s: 10}
+  pay: {pool: filing, path: /pay, repeat: never, timeout_s: 10, OUTCOME}
+workspaces:
+  ngo: {rate_per_s: 100, burst: 100, max_wait_ms: 20000}
+  other: {rate_per_s: 100, burst: 100, max_wait_ms: 20000}
+program: {budget_micros: 100000, idle_timeout_s: 600}
+"""
+
+
+class Session:
+    """What callers asked and got; identifiers are numbered as they appear."""
+
+    def __init__(self, fleet: LocalFleet) -> None:
+        self.fleet = fleet
+        self.keys: dict[str, str] = {}
+        self.lines: list[str] = []
+
+    @property
+    def tool(self) -> ToolService:
+        return self.fleet.upstreams.tools["http://tool-1"]
+
+    @property
+    def engines(self) -> list[ModelEngine]:
+        return list(self.fleet.upstreams.engines.values())
+
+    def owner(self, program: str, workspace: str = "ngo") -> str:
+        number = partition_of(workspace, program)
+        return self.fleet.owner_of(lambda state: state.owners.partition(number))
+
+    def other(self, *names: str) -> str:
+        return next(name for name in self.fleet.nodes if name not in names)
+
+    async def ask(self, route, body, program="", vm="", workspace="ngo", **fields):
+        """Makes a call and notes its answer; returns the outcome or the refusal."""
+        if route == "chat":
+            tokens = fields.pop("tokens", 3)
+            message = {"role": "user", "content": body}
+            data = json.dumps({"messages": [message], "max_tokens": tokens}).encode()
+        else:
+            data = body.encode()
+        key = self.keys[workspace]
+        request = CallerRequest(key, "desk", route, data, program_id=program, **fields)
+        asked = f"{workspace}: {route} {body!r} {program}"
+        asked += f" key={request.idempotency_key}" if request.idempotency_key else ""
+        asked += " sealed" if request.sealed else ""
+        try:
+            _, answer = await self.fleet.call(vm or self.other(), request)
+        except Refusal as error:
+            self.note(f"{asked} -> {error.code} not_run={error.not_run}")
+            return error
+        self.note(
+            f"{asked} -> {answer.outcome} {answer.body} charge={answer.charge_micros}"
+            f"{'' if answer.durable else ' not durable'}"
+            f"{' replayed' if answer.replayed else ''}"
+        )
+        return answer
+
+    def note(self, line: str) -> None:
+        self.lines.append(line)
+
+    def text(self) -> str:
+        """Returns the session, then what the upstreams saw."""
+        seen = [f"tool saw {path} {body!r}" for _, path, body in self.tool.seen]
+        for name, engine in zip(("run-1", "run-2"), self.engines, strict=True):
+            seen += [
+                f"{name} saw {call.session}: {call.prompt!r}, {call.tokens} tokens"
+                f"{', ' + call.ended if call.tokens < call.max_tokens else ''}"
+                for call in engine.seen
+            ]
+        numbers: dict[str, int] = {}
+        return re.sub(
+            r"(?<=-)[0-9a-f]{16,}",
+            lambda found: str(numbers.setdefault(found[0], len(numbers) + 1)),
+            "\n".join([*self.lines, *seen]) + "\n",
+        )
+
+
+@pytest.fixture
+def session():
+    """Returns a context manager that starts a fleet with a document and keys."""
+
+    @asynccontextmanager
+    async def start(size: int = 4, outcome: str = "", **fields):
+        async with LocalFleet(size, **fields) as fleet:
+            fleet.upstreams.engines = {
+                f"http://run-{number}": ModelEngine(
+                    EngineSettings(name=f"run-{number}")
+                )
+                for number in (1, 2)
+            }
+            fleet.upstreams.tools = {"http://tool-1": ToolService()}
+            text = DOCUMENT.replace(", OUTCOME", f", {outcome}" if outcome else "")
+            await fleet.apply("desk", text)
+            result = Session(fleet)
+            for workspace in ("ngo", "other"):
+                result.keys[workspace] = await fleet.give_key(workspace)
+            yield result
+
+    return start
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -30,7 +30,7 @@
   chat: {pool: writer}
   file: {pool: filing, path: /file, repeat: never}
 workspaces:
-  ngo: {rate_per_s: 10, burst: 10}
+  ngo: {rate_per_s: 10, burst: 10, max_wait_ms: 10000}
 """
 
 
