Look up calls of unknown outcome and ask their upstream

Cause: a non-repeatable call whose owner died was answered as unknown, and a caller had no way to learn its outcome later. Change: GET /v1/calls/REFERENCE reads the stored outcome by call id or idempotency key; problems carry call_id and program_id. Routes may have an outcome_path, by which the owner of the partition asks the upstream that got the call. Its answer settles the call as ok, with its charge, which is set aside in the budget until then. Ruled out: turning an unknown call into one that did not run when the upstream has not seen it, since a delayed request could still arrive.

--- a/packages/core/src/damasksaddle/config/documents.py
+++ b/packages/core/src/damasksaddle/config/documents.py
@@ -93,6 +93,11 @@
     path: str = Field(default="/", description="Path at a plain upstream.")
     open: bool = Field(default=False, description="Needs no workspace key.")
     repeat: Repeat = Repeat.SAFE
+    outcome_path: Annotated[str, Field(pattern=r"^(/.*\{call_id\}.*)?$")] = Field(
+        default="",
+        description="Path at the upstream that tells by GET what became of a call, "
+        "for example `/calls/{call_id}`: 200 with the answer, or 404 if not seen.",
+    )
     workspaces: list[Name] | None = Field(
         default=None, description="Who may use it; all workspaces if left out."
     )
--- a/packages/node/src/damasksaddle_node/entry.py
+++ b/packages/node/src/damasksaddle_node/entry.py
@@ -138,8 +138,9 @@
             check_program_id(program_id)
         elif request.idempotency_key:
             # Repeats of a single call must meet in one program.
-            name = f"{request.service}\0{request.route}\0{request.idempotency_key}"
-            program_id = f"single-{digest_of(name.encode())[:32]}"
+            program_id = single_program_id(
+                request.service, request.route, request.idempotency_key
+            )
         else:
             program_id = new_id("single")
         return CallRequest(
@@ -250,6 +251,12 @@
 PROGRAM_ID_LENGTH = 128
 
 
+def single_program_id(service: str, route: str, idempotency_key: str) -> str:
+    """Returns the program of a single call that has an idempotency key."""
+    name = f"{service}\0{route}\0{idempotency_key}"
+    return f"single-{digest_of(name.encode())[:32]}"
+
+
 def check_program_id(program_id: str) -> None:
     """Raises `BadRequest` unless a program id has the form `ROOT[/NAME]...`."""
     parts = program_id.split("/")
--- a/packages/node/src/damasksaddle_node/http/app.py
+++ b/packages/node/src/damasksaddle_node/http/app.py
@@ -17,7 +17,7 @@
     RouteNotFound,
 )
 from damasksaddle_node.addresses import addresses
-from damasksaddle_node.entry import CallerRequest, Entry
+from damasksaddle_node.entry import CallerRequest, Entry, single_program_id
 from damasksaddle_node.fleet.lease import Freshness
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.http.problems import problem, refusals_as_problems
@@ -48,6 +48,7 @@
             web.get("/v1/models", self.models),
             web.post("/v1/chat/completions", self.chat),
             web.post("/v1/services/{service}/{route}", self.plain),
+            web.get("/v1/calls/{reference:.+}", self.read_call),
             web.get("/v1/programs", self.list_programs),
             web.get("/v1/programs/{program_id:.+}", self.read_program),
             web.post("/v1/programs/{program_id:.+}/end", self.end_program),
@@ -171,6 +172,16 @@
     async def read_program(self, request: web.Request) -> web.Response:
         return await self._query(request, "read")
 
+    async def read_call(self, request: web.Request) -> web.Response:
+        """Answers by call id or idempotency key what became of a call."""
+        reference = request.match_info["reference"]
+        query = request.query
+        program_id = query.get("program") or single_program_id(
+            query.get("service", ""), query.get("route", ""), reference
+        )
+        body = await self._entry.query(_key(request), program_id, f"call:{reference}")
+        return web.Response(body=body, content_type="application/json")
+
     async def end_program(self, request: web.Request) -> web.Response:
         return await self._query(request, "end")
 
--- a/packages/node/src/damasksaddle_node/http/problems.py
+++ b/packages/node/src/damasksaddle_node/http/problems.py
@@ -25,6 +25,10 @@
         "code": error.code,
         "not_run": values[error.not_run],
     }
+    if error.call_id:
+        # By these the caller can look up what became of the call.
+        body["call_id"] = error.call_id
+        body["program_id"] = error.program_id
     # Stock OpenAI-compatible clients read the message from `error`.
     body["error"] = {"message": error.detail, "type": error.code, "code": error.code}
     return body
--- a/packages/node/src/damasksaddle_node/programs/outcome.py
+++ b/packages/node/src/damasksaddle_node/programs/outcome.py
@@ -1,10 +1,9 @@
 """The record of a call, how it becomes durable, and the answer made of it."""
 
 import asyncio
-import time
 
 from damasksaddle.exceptions import FateUnknown, NotRun
-from damasksaddle.utils import new_id
+from damasksaddle.utils import new_id, unix_s
 from damasksaddle_node.programs.context import JSON, CallContext
 from damasksaddle_node.programs.partition import Waiting
 from damasksaddle_node.programs.records import (
@@ -52,7 +51,7 @@
         output_tokens=context.output.tokens,
         cached_tokens=context.output.cached_tokens,
         sequence=context.program.sequence + bool(messages),
-        at_unix_s=int(time.time()),
+        at_unix_s=unix_s(),
         trace=context.trace,
         engines=engines or [],
         reserved_micros=reserved_micros,
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import json
-import time
 from collections.abc import AsyncGenerator
 from contextlib import aclosing, suppress
 from dataclasses import asdict
 from typing import Any
 
 from damasksaddle.exceptions import (
+    CallNotFound,
     EpochStale,
     FateUnknown,
     KeyRejected,
@@ -26,7 +26,7 @@
     StoreUnavailable,
     UpstreamError,
 )
-from damasksaddle.utils import get_log, new_id, partition_of
+from damasksaddle.utils import get_log, new_id, partition_of, unix_s
 from damasksaddle_node.commit import CommitClient
 from damasksaddle_node.fleet.records import FleetRecord, KeyWithdrawn
 from damasksaddle_node.peers import Handlers, PeerPool, Sender
@@ -43,6 +43,7 @@
     load_program_record,
 )
 from damasksaddle_node.programs.run import CallRun
+from damasksaddle_node.programs.settle import Settler
 from damasksaddle_node.programs.state import PartitionState, Program, root_of
 from damasksaddle_protocol import (
     CallChunk,
@@ -60,6 +61,8 @@
 OPEN_TRIES = 20
 HANDOVER_TIMEOUT_S = 120.0
 RELEASE_PERIOD_S = 1.0
+# A query for one call; the call id or idempotency key follows.
+CALL_ACTION = "call:"
 
 
 class ProgramOwner:
@@ -74,6 +77,7 @@
         self._fleet = services.fleet
         self._peers = peers
         self._commits = commits
+        self._settler = Settler(services)
         self._opening: dict[int, asyncio.Lock] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         services.fleet.listen(self._on_record)
@@ -129,7 +133,7 @@
                     call.program_id,
                     call.service,
                     budget,
-                    int(time.time()),
+                    unix_s(),
                 )
             )
         program = partition.state.programs[key]
@@ -162,6 +166,7 @@
             partition = await self._open(number)
             self.partitions[number] = partition
             self._spawn(partition.flush())
+            self._spawn(self._settler.run(partition))
             return partition
 
     def _spawn(self, coroutine: Any) -> None:
@@ -257,13 +262,17 @@
     # Queries.
 
     async def on_query(self, message: ProgramQuery, sender: Sender) -> ProgramAnswer:
-        """Answers a query; raises `ProgramNotFound`."""
+        """Answers a query; raises `ProgramNotFound` or `CallNotFound`."""
         if message.action == "list":
             body: Any = self._list(message.workspace)
         else:
             self._services.guard()
             partition = await self.partition(message.workspace, message.program_id)
             key = (message.workspace, message.program_id)
+            if message.action.startswith(CALL_ACTION):
+                reference = message.action.removeprefix(CALL_ACTION)
+                call = _call(partition, key, reference)
+                return ProgramAnswer(json.dumps(call).encode())
             program = partition.state.programs.get(key)
             if program is None:
                 raise ProgramNotFound
@@ -351,12 +360,39 @@
         output_tokens=0,
         cached_tokens=0,
         sequence=program.sequence,
-        at_unix_s=int(time.time()),
+        at_unix_s=unix_s(),
         reserved_micros=intent.reserved_micros,
         trace=Trace(reason="the owner died before the outcome was recorded"),
     )
 
 
+def _call(partition: Partition, key: tuple[str, str], reference: str) -> dict[str, Any]:
+    """Returns a call as JSON, by its call id or retry key; raises `CallNotFound`."""
+    workspace, program_id = key
+    state = partition.state
+    scope = (workspace, root_of(program_id), reference)
+    call_id = state.by_idempotency_key.get(scope, reference)
+    record = state.finished.get(call_id) or state.intents.get(call_id)
+    if record is None or (record.workspace, root_of(record.program_id)) != scope[:2]:
+        raise CallNotFound
+    body: dict[str, Any] = {
+        "call_id": record.call_id,
+        "program_id": record.program_id,
+        "route": record.route,
+        "upstream": record.upstream,
+        "outcome": "running",
+        "durable": partition.waiting_for(record) is None,
+    }
+    if isinstance(record, CallFinished):
+        body["outcome"] = record.outcome
+        body["charge_micros"] = record.charge_micros
+        if record.outcome is not Outcome.UNKNOWN:
+            body["http_status"] = record.http_status
+            body["content_type"] = record.content_type
+            body["body"] = record.body
+    return body
+
+
 def describe(partition: Partition, program: Program, explain: bool) -> dict[str, Any]:
     """Returns a program as JSON; `explain` adds why each call went where it went."""
     account = partition.state.account(program.workspace, program.program_id)
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/settle.py
@@ -0,0 +1,95 @@
+"""Asks upstreams what happened to calls of unknown outcome."""
+
+import asyncio
+from dataclasses import replace
+
+from damasksaddle.config import Route
+from damasksaddle.exceptions import Refusal, UpstreamError
+from damasksaddle.utils import get_log, new_id, unix_s
+from damasksaddle_node.programs.context import Services
+from damasksaddle_node.programs.partition import Partition
+from damasksaddle_node.programs.records import CallFinished, Outcome, Trace
+from damasksaddle_node.upstreams import PlainAnswer
+
+log = get_log("programs")
+
+SETTLE_PERIOD_S = 2.0
+# Covers retransmissions and queues between a dead VM and an upstream.
+LONGEST_IN_FLIGHT_S = 60.0
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+
+
+class Settler:
+    """
+    Settles calls of unknown outcome where a route has an `outcome_path`.
+
+    An upstream that knows the call settles it as ok, with what it answers now. One
+    that has not seen the call may still receive it, until the longest time that a
+    call can be in flight has passed; then it is no longer asked, and the outcome
+    stays unknown.
+    """
+
+    def __init__(self, services: Services) -> None:
+        self._services = services
+        self._not_seen: set[str] = set()
+
+    async def run(self, partition: Partition) -> None:
+        """Asks regularly for as long as the partition is held."""
+        while not partition.lost:
+            known = partition.state.unknown
+            self._not_seen &= known.keys()
+            asked = [
+                self._ask(partition, record)
+                for call_id, record in list(known.items())
+                if call_id not in self._not_seen
+            ]
+            await asyncio.gather(*asked)
+            await asyncio.sleep(SETTLE_PERIOD_S)
+
+    async def _ask(self, partition: Partition, record: CallFinished) -> None:
+        program = partition.state.programs[(record.workspace, record.program_id)]
+        document = self._services.fleet.state.document(program.service)
+        route = document.routes.get(record.route) if document else None
+        if document is None or route is None or not route.outcome_path:
+            return
+        urls = {u.name: u.url for u in document.pools[route.pool].upstreams}
+        if record.upstream not in urls:
+            return
+        path = route.outcome_path.replace("{call_id}", record.call_id)
+        asked_unix_s = unix_s()
+        try:
+            self._services.guard()
+            answer = await self._services.upstreams.outcome(urls[record.upstream], path)
+        except (UpstreamError, Refusal) as error:
+            log.debug("An outcome was not learnt.", call=record.call_id, reason=error)
+            return
+        if answer.status == HTTP_OK and record.call_id in partition.state.unknown:
+            self._settle(partition, record, answer)
+            return
+        believed_from_s = record.at_unix_s + longest_in_flight_s(route)
+        if answer.status == HTTP_NOT_FOUND and asked_unix_s > believed_from_s:
+            self._not_seen.add(record.call_id)
+
+    def _settle(
+        self, partition: Partition, record: CallFinished, answer: PlainAnswer
+    ) -> None:
+        partition.add(
+            replace(
+                record,
+                record_id=new_id("record"),
+                outcome=Outcome.OK,
+                http_status=answer.status,
+                content_type=answer.content_type,
+                body=answer.body.decode(errors="replace"),
+                charge_micros=record.reserved_micros,
+                at_unix_s=unix_s(),
+                trace=Trace(reason="the upstream was asked for the outcome"),
+            )
+        )
+        log.info("A call was settled.", call=record.call_id)
+
+
+def longest_in_flight_s(route: Route) -> float:
+    """Returns how long after its sender's death a call may still arrive."""
+    return max(route.timeout_s, LONGEST_IN_FLIGHT_S)
--- a/packages/node/src/damasksaddle_node/upstreams/http.py
+++ b/packages/node/src/damasksaddle_node/upstreams/http.py
@@ -93,6 +93,16 @@
         except _FAILURES as error:
             raise UpstreamError(repr(error), sent=True) from error
 
+    async def outcome(self, url: str, path: str) -> PlainAnswer:
+        """Asks a plain service what became of a call; raises `UpstreamError`."""
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        try:
+            async with self._session.get(url + path, timeout=timeout) as response:
+                body = await response.read()
+                return PlainAnswer(response.status, response.content_type, body)
+        except _FAILURES as error:
+            raise UpstreamError(repr(error), sent=True) from error
+
     async def release(self, url: str, session: str) -> None:
         """Frees what an engine holds for a session."""
         await self._control("POST", f"{url}/v1/release", {"session": session})
--- a/packages/standins/src/damasksaddle_standins/servers.py
+++ b/packages/standins/src/damasksaddle_standins/servers.py
@@ -203,6 +203,13 @@
             content_type="application/json",
         )
 
+    async def outcome(request: web.Request) -> web.Response:
+        answer = tool.outcome(request.match_info["call_id"])
+        return web.Response(
+            body=answer.body, status=answer.status, content_type=answer.content_type
+        )
+
     app = web.Application()
+    app.add_routes([web.get("/calls/{call_id}", outcome)])
     app.add_routes([web.get("/seen", seen), web.post("/{path:.*}", call)])
     return app
--- a/packages/standins/src/damasksaddle_standins/tool.py
+++ b/packages/standins/src/damasksaddle_standins/tool.py
@@ -13,6 +13,8 @@
     """
     One service; `seen` holds the calls that took effect, in order.
 
+    `asked` holds the call ids whose outcome was asked for.
+
     `hang` calls take effect and never answer; `lose_answers` calls take effect and
     end in an error.
     """
@@ -23,6 +25,8 @@
     lose_answers: int = 0
     refuse_connections: bool = False
     seen: list[tuple[str, str, str]] = field(default_factory=list)
+    asked: list[str] = field(default_factory=list)
+    _answers: dict[str, bytes] = field(default_factory=dict)
 
     async def call(self, request: PlainRequest) -> PlainAnswer:
         """Carries out a call; raises `UpstreamError`."""
@@ -31,6 +35,8 @@
         body = request.body.decode(errors="replace")
         self.seen.append((request.call_id, request.path, body))
         number = len(self.seen)
+        answer = {"service": self.name, "number": number}
+        self._answers[request.call_id] = json.dumps(answer).encode()
         if self.hang > 0:
             self.hang -= 1
             await asyncio.sleep(request.timeout_s)
@@ -39,5 +45,11 @@
         if self.lose_answers > 0:
             self.lose_answers -= 1
             raise UpstreamError("the answer was lost", sent=True)
-        answer = {"service": self.name, "number": number}
-        return PlainAnswer(200, "application/json", json.dumps(answer).encode())
+        return PlainAnswer(200, "application/json", self._answers[request.call_id])
+
+    def outcome(self, call_id: str) -> PlainAnswer:
+        """Tells what a call answered, or that it was not seen."""
+        self.asked.append(call_id)
+        if call_id not in self._answers:
+            return PlainAnswer(404, "application/json", b"{}")
+        return PlainAnswer(200, "application/json", self._answers[call_id])
--- a/packages/standins/src/damasksaddle_standins/upstreams.py
+++ b/packages/standins/src/damasksaddle_standins/upstreams.py
@@ -43,6 +43,11 @@
             raise UpstreamError("connection refused", sent=False)
         return await self.tools[url].call(request)
 
+    async def outcome(self, url: str, path: str) -> PlainAnswer:
+        if url in self.down or url not in self.tools:
+            raise UpstreamError("connection refused", sent=False)
+        return self.tools[url].outcome(path.rpartition("/")[2])
+
     async def release(self, url: str, session: str) -> None:
         self._engine(url).release(session)
 
--- a/tests/node/programs/conftest.py
+++ b/tests/node/programs/conftest.py
@@ -89,6 +89,18 @@
         )
         return answer
 
+    async def look_up(self, reference, program, workspace="ngo", vm=""):
+        """Looks a call up as `GET /v1/calls/REFERENCE` does."""
+        entry = self.fleet.nodes[vm or self.other()].entry
+        query = entry.query(self.keys[workspace], program, f"call:{reference}")
+        try:
+            call = json.loads(await query)
+        except Refusal as error:
+            self.note(f"look up {reference} -> {error.code} not_run={error.not_run}")
+            return
+        body = f"{call['outcome']} {call.get('body')} charge={call['charge_micros']}"
+        self.note(f"look up {reference} -> {body}")
+
     def note(self, line: str) -> None:
         self.lines.append(line)
 
--- a/tests/node/programs/test_at_most_once.py
+++ b/tests/node/programs/test_at_most_once.py
@@ -73,6 +73,7 @@
         await asyncio.gather(*asks)
         asks = [s.ask("file", "sub", f"p/{n}", idempotency_key="k2") for n in "abc"]
         await asyncio.gather(*asks)
+        s.lines.sort()
         assert s.text() == snapshot
 
 
@@ -141,3 +142,35 @@
         await s.ask("file", "too late", "p1", vm=holder)
         await s.ask("chat", "second", "p1", vm=vm)
         assert s.text() == snapshot
+
+
+async def test_unknown_outcome_is_looked_up_and_settled(session, snapshot):
+    """Guards against an unknown call being lost, repeated or called `not run`."""
+    async with session(5, outcome='outcome_path: "/calls/{call_id}"') as s:
+        owner = s.owner("p1")
+        vm = s.other(owner)
+        s.tool.delay_s = 1.0
+        call = asyncio.create_task(
+            s.ask("pay", "allowance", "p1", vm=vm, idempotency_key="k")
+        )
+        await until(lambda: s.tool.seen)
+        await s.fleet.kill(owner)
+        await call
+        s.tool.delay_s = 0.0
+        await asyncio.sleep(5)
+        await s.look_up("k", "p1")
+        await s.look_up("k", "p1", workspace="other")
+        await s.look_up("none", "p1")
+        await s.ask("pay", "allowance", "p1", idempotency_key="k")
+        # This upstream forgets the call, as one that never received it.
+        s.tool.lose_answers = 1
+        answer = await s.ask("pay", "second", "p1", idempotency_key="k2")
+        s.tool._answers.clear()
+        await asyncio.sleep(200)
+        await s.look_up("k2", "p1")
+        asked = len(s.tool.asked)
+        await asyncio.sleep(200)
+        assert len(s.tool.asked) == asked
+        await s.look_up(answer.call_id, answer.program_id)
+        await s.ask("pay", "second", "p1", idempotency_key="k2")
+        assert s.text() == snapshot
