Keep a program's history in order when sealed records come late

Cause, seen failing in tests/node/programs/test_history.py: a sealed record that came after a later turn put its turns behind it, and a turn whose predecessor had been lost was put on a history that it was not built on ('one, four, three, five'). The records of a partition were appended in one batch of any size; after an outage a batch of 18 MB does not fit a frame of 8 MiB and would never become durable. Sealed records were applied while another call of the program ran, and could carry intents that were never sent. Change: a turn names the call that it follows and is added only on top of it; its charge and answer count in any case. Sealed records are replayed under the program's lock. Batches end at 1 MiB. Ruled out: sequence numbers alone, which accept turn 3 on top of another turn 2.

--- a/packages/node/src/damasksaddle_node/programs/context.py
+++ b/packages/node/src/damasksaddle_node/programs/context.py
@@ -13,7 +13,7 @@
 from damasksaddle_node.pools import PoolClient
 from damasksaddle_node.programs.budget import prompt_tokens_at_most
 from damasksaddle_node.programs.partition import Partition
-from damasksaddle_node.programs.records import Trace
+from damasksaddle_node.programs.records import ProgramRecord, Trace
 from damasksaddle_node.programs.sealed import Sealer
 from damasksaddle_node.programs.state import Program
 from damasksaddle_node.settings import Settings
@@ -66,8 +66,9 @@
 
     `interruptible` is False from when the outcome must be recorded; `events` holds
     the answer on its way to the caller. `sent` is True once the call may have
-    reached an upstream. `retry_key` finds the call again: it is the caller's
-    idempotency key, or else the call id that the entry VM keeps through its tries.
+    reached an upstream. `sealed` holds the records that the caller kept. `retry_key`
+    finds the call again: it is the caller's idempotency key, or else the call id
+    that the entry VM keeps through its tries.
     """
 
     services: Services
@@ -84,6 +85,7 @@
     stop_reason: Refusal | None = None
     interruptible: bool = True
     sent: bool = False
+    sealed: list[ProgramRecord] = field(default_factory=list)
     retry_key: str = field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/node/src/damasksaddle_node/programs/outcome.py
+++ b/packages/node/src/damasksaddle_node/programs/outcome.py
@@ -9,8 +9,10 @@
 from damasksaddle_node.programs.records import (
     OUTCOME,
     CallFinished,
+    CallIntended,
     CallOutcome,
     Outcome,
+    ProgramRecord,
 )
 from damasksaddle_protocol import CallEnd
 
@@ -55,6 +57,7 @@
         trace=context.trace,
         engines=engines or [],
         reserved_micros=reserved_micros,
+        follows=context.program.last_turn,
     )
 
 
@@ -76,6 +79,13 @@
     return True
 
 
+def _is_sealed(record: ProgramRecord) -> bool:
+    # An intent that is not durable is never sent, so nobody has to learn of it.
+    return not isinstance(record, CallIntended) and not (
+        isinstance(record, CallFinished) and record.outcome is Outcome.NOT_RUN
+    )
+
+
 def call_end(
     context: CallContext, record: CallFinished, durable: bool, replayed: bool = False
 ) -> CallEnd:
@@ -88,8 +98,9 @@
             [
                 item.text
                 for item in context.partition.waiting
-                if getattr(item.record, "workspace", "") == record.workspace
-                and getattr(item.record, "program_id", "") == record.program_id
+                if _is_sealed(item.record)
+                and item.record.workspace == record.workspace
+                and item.record.program_id == record.program_id
             ],
         )
     outcome = CallOutcome(
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -38,6 +38,7 @@
     EngineReleased,
     Outcome,
     ProgramFinished,
+    ProgramRecord,
     ProgramStarted,
     Trace,
     load_program_record,
@@ -104,10 +105,13 @@
         if route is None or document is None:
             raise RouteNotFound(f"{call.service}/{call.route}")
         partition = await self.partition(call.workspace, call.program_id)
-        program = self._program(partition, call)
+        sealed = self._sealed(call)
+        program = self._program(partition, call, sealed)
         pool = document.pools[route.pool]
         run = CallRun(
-            CallContext(self._services, partition, program, call, route, pool)
+            CallContext(
+                self._services, partition, program, call, route, pool, sealed=sealed
+            )
         )
         self.runs.add(run)
         run.task.add_done_callback(lambda _: self.runs.discard(run))
@@ -115,10 +119,19 @@
             async for event in events:
                 yield event
 
-    def _program(self, partition: Partition, call: CallRequest) -> Program:
+    def _sealed(self, call: CallRequest) -> list[ProgramRecord]:
+        """Returns the records that the caller kept; raises `BadRequest`."""
+        if not call.sealed:
+            return []
+        return self._services.sealer.open(call.workspace, call.program_id, call.sealed)
+
+    def _program(
+        self, partition: Partition, call: CallRequest, sealed: list[ProgramRecord]
+    ) -> Program:
         """Returns a call's program, and starts it if this is its first call."""
-        if call.sealed:
-            self._unseal(partition, call)
+        started = [record for record in sealed if isinstance(record, ProgramStarted)]
+        if started:
+            partition.replay(started[0])
         key = (call.workspace, call.program_id)
         if key not in partition.state.programs:
             document = self._fleet.state.document(call.service)
@@ -142,14 +155,6 @@
             raise ProgramEnded(f"the root program has ended: {root.ended}")
         return program
 
-    def _unseal(self, partition: Partition, call: CallRequest) -> None:
-        records = self._services.sealer.open(
-            call.workspace, call.program_id, call.sealed
-        )
-        for record in records:
-            if partition.state.apply(record):
-                partition.queue(record)
-
     # Partitions.
 
     async def partition(self, workspace: str, program_id: str) -> Partition:
--- a/packages/node/src/damasksaddle_node/programs/partition.py
+++ b/packages/node/src/damasksaddle_node/programs/partition.py
@@ -16,6 +16,10 @@
 
 log = get_log("programs")
 
+# A record holds at most a body and an answer, so a batch stays well below the
+# largest frame (8 MiB), also after a long outage.
+MAX_BATCH_BYTES = 1024 * 1024
+
 
 @dataclass(eq=False, slots=True)
 class Waiting:
@@ -55,6 +59,11 @@
         self.state.apply(record)
         return self.queue(record)
 
+    def replay(self, record: ProgramRecord) -> None:
+        """Applies and queues a record that is not known yet."""
+        if self.state.apply(record):
+            self.queue(record)
+
     def queue(self, record: ProgramRecord) -> Waiting:
         """Queues a record without applying it."""
         done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
@@ -105,7 +114,7 @@
         while not self.lost:
             await self._wake.wait()
             self._wake.clear()
-            batch = list(self.waiting)
+            batch = self._batch()
             if not batch:
                 continue
             for item in batch:
@@ -125,6 +134,15 @@
             if self.waiting:
                 self._wake.set()
 
+    def _batch(self) -> list[Waiting]:
+        """Returns the first waiting records, in a size that fits a frame."""
+        size_bytes = 0
+        for number, item in enumerate(self.waiting):
+            size_bytes += len(item.text)
+            if size_bytes > MAX_BATCH_BYTES and number:
+                return self.waiting[:number]
+        return list(self.waiting)
+
     def lose(self, error: Refusal) -> None:
         """Ends the hold on this partition; records that wait will not be written."""
         self.lost = True
--- a/packages/node/src/damasksaddle_node/programs/records.py
+++ b/packages/node/src/damasksaddle_node/programs/records.py
@@ -67,7 +67,8 @@
     A call ended. This record is also the charge: there is one per call id.
 
     `messages` are what the call adds to the history, as JSON texts; `sequence`
-    numbers the calls that add something. `engines` may hold memory for the
+    numbers the calls that add something, and `follows` is the call id of the one
+    before. `engines` may hold memory for the
     program. `reserved_micros` is what a call of unknown outcome may
     still cost; a later record with the same call id may settle it.
     """
@@ -94,6 +95,7 @@
     trace: Trace
     engines: list[str] = Field(default_factory=list)
     reserved_micros: int = 0
+    follows: str = ""
     kind: Literal["call_finished"] = "call_finished"
 
 
--- a/packages/node/src/damasksaddle_node/programs/run.py
+++ b/packages/node/src/damasksaddle_node/programs/run.py
@@ -116,6 +116,8 @@
         async with context.program.lock, partition.key_lock(self._retry_scope()):
             context.note(order_wait_ms=context.elapsed_ms())
             context.check_holder()
+            for sealed in context.sealed:
+                partition.replay(sealed)
             earlier = self._earlier_record()
             record = earlier or await self._run_once()
             waiting = partition.waiting_for(record)
--- a/packages/node/src/damasksaddle_node/programs/state.py
+++ b/packages/node/src/damasksaddle_node/programs/state.py
@@ -58,6 +58,7 @@
     started_at_unix_s: int
     messages: list[str] = field(default_factory=list)
     sequence: int = 0
+    last_turn: str = ""
     attained_tokens: int = 0
     upstream: str = ""
     engines: set[str] = field(default_factory=set)
@@ -168,11 +169,12 @@
 
     @staticmethod
     def _extend_history(program: Program, record: CallFinished) -> None:
-        # A turn whose number is taken ran besides the history that was kept: its
-        # charge and its answer count, its messages do not.
-        if record.messages and record.sequence == program.sequence + 1:
+        # A turn that does not follow the last one ran on a history that was lost or
+        # replaced: its charge and its answer count, its messages do not.
+        if record.messages and record.follows == program.last_turn:
             program.messages.extend(record.messages)
             program.sequence = record.sequence
+            program.last_turn = record.call_id
 
     def _settle(
         self, program: Program, earlier: CallFinished, record: CallFinished
--- a/tests/node/programs/conftest.py
+++ b/tests/node/programs/conftest.py
@@ -1,5 +1,6 @@
 """Sessions of callers, written down together with what the stand-ins saw."""
 
+import asyncio
 import json
 import re
 from contextlib import asynccontextmanager
@@ -61,6 +62,17 @@
         number = partition_of(workspace, program)
         return self.fleet.owner_of(lambda state: state.owners.partition(number))
 
+    def committer(self, program: str, workspace: str = "ngo") -> str:
+        stream = partition_of(workspace, program) % 4
+        return self.fleet.owner_of(lambda state: state.owners.stream(stream))
+
+    async def until(self, condition, seconds=30.0):
+        for _ in range(int(seconds / 0.005)):
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+        raise AssertionError("the condition did not become true")
+
     def other(self, *names: str) -> str:
         return next(name for name in self.fleet.nodes if name not in names)
 
@@ -101,6 +113,11 @@
         body = f"{call['outcome']} {call.get('body')} charge={call['charge_micros']}"
         self.note(f"look up {reference} -> {body}")
 
+    async def read(self, program, workspace="ngo", action="read"):
+        """Returns a program as `GET /v1/programs/ID` does."""
+        entry = self.fleet.nodes[self.other()].entry
+        return json.loads(await entry.query(self.keys[workspace], program, action))
+
     def note(self, line: str) -> None:
         self.lines.append(line)
 
--- a/tests/node/programs/test_at_most_once.py
+++ b/tests/node/programs/test_at_most_once.py
@@ -5,19 +5,6 @@
 from damasksaddle.utils import partition_of
 
 
-async def until(condition, seconds=30.0):
-    for _ in range(int(seconds / 0.005)):
-        if condition():
-            return
-        await asyncio.sleep(0.005)
-    raise AssertionError("the condition did not become true")
-
-
-def committer_of(fleet, program):
-    stream = partition_of("ngo", program) % 4
-    return fleet.owner_of(lambda state: state.owners.stream(stream))
-
-
 async def test_owner_killed_around_sending(session, snapshot):
     """Guards against a second send, or a false `not_run`, when an owner dies."""
     async with session(6) as s:
@@ -25,14 +12,14 @@
         for program in ("sent", "unsent"):
             owner = s.owner(program)
             s.fleet.table.faults.delay_s = 0.2 if program == "unsent" else 0.0
-            vm = s.other(owner, committer_of(s.fleet, program))
+            vm = s.other(owner, s.committer(program))
             fields = {"program": program, "vm": vm, "idempotency_key": "k1"}
             call = asyncio.create_task(s.ask("file", program, **fields))
             seen = len(s.tool.seen)
             if program == "sent":
-                await until(lambda seen=seen: len(s.tool.seen) > seen)
+                await s.until(lambda seen=seen: len(s.tool.seen) > seen)
             else:
-                await until(lambda: s.fleet.nodes[owner].owner.runs)  # noqa: B023
+                await s.until(lambda: s.fleet.nodes[owner].owner.runs)  # noqa: B023
             await s.fleet.kill(owner)
             s.fleet.table.faults.delay_s = 0.0
             await call
@@ -102,11 +89,11 @@
             program = next(
                 p
                 for p in (f"{fault[:2]}{n}" for n in range(99))
-                if committer_of(s.fleet, p) not in (s.owner(p), "vm0", "vm1")
+                if s.committer(p) not in (s.owner(p), "vm0", "vm1")
                 and s.owner(p) not in ("vm0", "vm1")
             )
             await s.ask("chat", "hello", program, vm=f"vm{number}")
-            committer = committer_of(s.fleet, program)
+            committer = s.committer(program)
             setattr(s.fleet.table.faults, fault, 0.3)
             call = asyncio.create_task(
                 s.ask("file", fault, program, vm=f"vm{number}", idempotency_key="k")
@@ -130,7 +117,7 @@
         stale = asyncio.create_task(
             s.ask("file", "before", "p1", vm=holder, idempotency_key="k")
         )
-        await until(lambda: s.tool.seen)
+        await s.until(lambda: s.tool.seen)
         s.fleet.network.cut_off(holder, list(s.fleet.nodes))
         s.fleet.table.faults.unreachable_for.add(holder)
         await stale
@@ -153,7 +140,7 @@
         call = asyncio.create_task(
             s.ask("pay", "allowance", "p1", vm=vm, idempotency_key="k")
         )
-        await until(lambda: s.tool.seen)
+        await s.until(lambda: s.tool.seen)
         await s.fleet.kill(owner)
         await call
         s.tool.delay_s = 0.0
