--- /dev/null
+++ b/packages/node/src/damasksaddle_node/programs/charges.py
@@ -0,0 +1,85 @@
+"""Reads what has been charged from the commit streams, for operators."""
+
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass
+
+from damasksaddle.platform import RowSequence, Table
+from damasksaddle_node.commit import EntryKind, load_row
+from damasksaddle_node.programs.records import (
+    CallFinished,
+    Outcome,
+    load_program_record,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """What one call was charged, in millionths."""
+
+    call_id: str
+    workspace: str
+    program_id: str
+    route: str
+    upstream: str
+    outcome: Outcome
+    charge_micros: int
+    prompt_tokens: int
+    output_tokens: int
+    at_unix_s: int
+
+
+async def read_charges(table: Table, streams: int) -> list[Charge]:
+    """
+    Returns one charge for each call whose record is durable, by call id.
+
+    A call of unknown outcome is charged 0 until it is settled. Raises
+    `TableUnavailable`.
+
+    >>> sum(charge.charge_micros for charge in await read_charges(table, 4))
+    1250
+    """
+    charges: dict[str, Charge] = {}
+    for stream in range(streams):
+        async for record in _finished(table, stream):
+            # The same rule as in the owner's fold: the first record counts, and an
+            # unknown outcome may be settled later.
+            earlier = charges.get(record.call_id)
+            if earlier is None or (
+                earlier.outcome is Outcome.UNKNOWN and record.outcome is Outcome.OK
+            ):
+                charges[record.call_id] = charge_of(record)
+    return [charges[call_id] for call_id in sorted(charges)]
+
+
+async def _finished(table: Table, stream: int) -> AsyncGenerator[CallFinished, None]:
+    rows = RowSequence(table, f"stream/{stream}")
+    position = 0
+    while found := await rows.read_after(position):
+        for row in found:
+            position = rows.position(row)
+            for entry in load_row(row.value).entries:
+                if entry.kind is not EntryKind.RECORDS:
+                    continue
+                for text in entry.records:
+                    record = load_program_record(text)
+                    if (
+                        isinstance(record, CallFinished)
+                        and record.outcome is not Outcome.NOT_RUN
+                    ):
+                        yield record
+
+
+def charge_of(record: CallFinished) -> Charge:
+    """Returns the charge that a record stands for."""
+    return Charge(
+        record.call_id,
+        record.workspace,
+        record.program_id,
+        record.route,
+        record.upstream,
+        record.outcome,
+        record.charge_micros,
+        record.prompt_tokens,
+        record.output_tokens,
+        record.at_unix_s,
+    )
