Check settings by a model, add TLS, metrics and the state on SIGUSR1

Cause: only four settings were checked, most times had no flag, TLS could not be set up, and nothing measured a node in operation.

A wrong setting gives one line and exit status 2, and never the value of a secret. A host such as 0.0.0.0 needs the address that others are told. TLS for callers and operators, mutual TLS 1.3 between nodes, a CA file for outgoing HTTPS. Metrics by statsd, with fixed names and one address lookup at start. SIGUSR1 writes the state to the log.

Ruled out: checking host names between nodes, because VMs are replaced at any time and certificates cannot name their addresses; the fleet's own CA and `Hello` identify a peer. An encrypted key file is refused, because OpenSSL would ask the terminal.

--- a/packages/core/src/damasksaddle/platform/__init__.py
+++ b/packages/core/src/damasksaddle/platform/__init__.py
@@ -1,5 +1,6 @@
 """Clients of what the platform gives: table, object store and VM list."""
 
+from damasksaddle.platform.counted import CountedTable
 from damasksaddle.platform.http import HttpObjects, HttpTable, HttpVmList
 from damasksaddle.platform.interfaces import (
     ListedVm,
@@ -12,6 +13,7 @@
 from damasksaddle.platform.sequence import RowSequence
 
 __all__ = [
+    "CountedTable",
     "HttpObjects",
     "HttpTable",
     "HttpVmList",
--- /dev/null
+++ b/packages/core/src/damasksaddle/platform/counted.py
@@ -0,0 +1,39 @@
+"""A table that counts its failures."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from damasksaddle.exceptions import AnswerLost, TableUnavailable
+from damasksaddle.platform.interfaces import Put, Row, Table
+from damasksaddle.utils import Counter, count
+
+
+@contextmanager
+def _counted() -> Iterator[None]:
+    try:
+        yield
+    except TableUnavailable:
+        count(Counter.TABLE_ERRORS)
+        raise
+    except AnswerLost:
+        count(Counter.TABLE_ANSWERS_LOST)
+        raise
+
+
+class CountedTable:
+    """Passes requests on to a table, and counts those that fail."""
+
+    def __init__(self, table: Table) -> None:
+        self._table = table
+
+    async def get(self, key: str) -> Row | None:
+        with _counted():
+            return await self._table.get(key)
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 500) -> list[Row]:
+        with _counted():
+            return await self._table.scan(prefix, after=after, limit=limit)
+
+    async def write(self, puts: list[Put], write_id: str) -> None:
+        with _counted():
+            await self._table.write(puts, write_id)
--- a/packages/node/src/damasksaddle_node/commands/serve.py
+++ b/packages/node/src/damasksaddle_node/commands/serve.py
@@ -1,19 +1,30 @@
 """Runs one node."""
 
 import asyncio
+import json
 import signal
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 import click
+from pydantic_core import PydanticUndefined
 
+from damasksaddle import __version__
 from damasksaddle.exceptions import SettingsInvalid
 from damasksaddle.platform import HttpObjects, HttpTable, HttpVmList
-from damasksaddle.utils import get_log, set_up_logs
+from damasksaddle.utils import get_log, set_up_logs, set_up_metrics
+from damasksaddle_node.dump import dump_state
 from damasksaddle_node.node import Node
 from damasksaddle_node.peers import TcpNetwork
-from damasksaddle_node.settings import Settings, Timing
+from damasksaddle_node.settings import Settings
+from damasksaddle_node.settings_input import (
+    SettingsInput,
+    check_settings,
+    variable_of,
+)
+from damasksaddle_node.tls import Tls, load_tls
 from damasksaddle_node.upstreams import HttpUpstreams
 
 log = get_log("node")
@@ -21,13 +32,16 @@
 # Ends the process so that its supervisor starts it as a new member.
 EXIT_REMOVED = 75
 EXIT_SETTINGS = 2
+EXIT_FAILED = 1
+METAVARS: dict[Any, str] = {int: "INTEGER", float: "FLOAT"}
+PROGRAM = "damasksaddled"
 
 
-async def serve(settings: Settings) -> int:
+async def serve(settings: Settings, tls: Tls) -> int:
     """Runs a node until it is stopped or removed; returns the exit status."""
     platform_timeout_s = settings.timing.peer_timeout_s
     async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0)
+        connector=aiohttp.TCPConnector(limit=0, ssl=tls.outgoing or True)
     ) as session:
         node = Node(
             settings,
@@ -35,7 +49,8 @@
             HttpObjects(session, settings.objects_url, platform_timeout_s),
             HttpVmList(session, settings.vm_list_url, platform_timeout_s),
             HttpUpstreams(session),
-            TcpNetwork(),
+            TcpNetwork(tls.peer_server, tls.peer_client),
+            tls=tls,
         )
         await node.start()
         print(f"ready {node.vm_id} {node.http_url} {node.admin_url}", flush=True)
@@ -55,6 +70,7 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    loop.add_signal_handler(signal.SIGUSR1, dump_to_log, node)
     if await _first(stopping.wait(), node.removed.wait()) == 1:
         return EXIT_REMOVED
     await _first(node.leave(), hurried.wait(), node.removed.wait())
@@ -72,63 +88,67 @@
     return done
 
 
-def check_settings(settings: Settings) -> None:
-    """Raises `SettingsInvalid` if a node cannot run with these settings."""
-    for name in ("table_url", "objects_url", "vm_list_url"):
-        if not getattr(settings, name).startswith(("http://", "https://")):
-            raise SettingsInvalid(f"--{name.replace('_', '-')} is not an HTTP URL")
-    if not settings.fleet_secret:
-        raise SettingsInvalid("DAMASKSADDLE_FLEET_SECRET is not set")
-    if settings.timing.freshness_s >= settings.timing.lease_s:
-        raise SettingsInvalid("--freshness-s must be shorter than --lease-s")
-
-
-@click.command(context_settings={"auto_envvar_prefix": "DAMASKSADDLE"})
-@click.option("--name", required=True, help="Name of this VM, unique in the fleet.")
-@click.option("--failure-domain", required=True, help="Failure domain of this VM.")
-@click.option("--http-host", default="127.0.0.1", show_default=True)
-@click.option("--http-port", default=0, show_default=True, help="0 picks a free one.")
-@click.option("--peer-host", default="127.0.0.1", show_default=True)
-@click.option("--peer-port", default=0, show_default=True)
-@click.option("--admin-host", default="127.0.0.1", show_default=True)
-@click.option("--admin-port", default=0, show_default=True)
-@click.option("--table-url", required=True, help="The platform's table service.")
-@click.option("--objects-url", required=True, help="The platform's object store.")
-@click.option("--vm-list-url", required=True, help="The platform's list of VMs.")
-@click.option("--fleet-secret", default="", help="Shared by all nodes of the fleet.")
-@click.option("--operator-token", default="", help="Grants the operators' interface.")
-@click.option("--streams", default=4, show_default=True, help="Commit streams.")
-@click.option("--lease-s", default=6.0, show_default=True)
-@click.option("--freshness-s", default=3.0, show_default=True)
-@click.option("--hold-s", default=30.0, show_default=True, help="Address hold time.")
-@click.option("--stop-timeout-s", default=600.0, show_default=True)
-@click.option("--statsd-host", default="127.0.0.1", show_default=True)
-@click.option("--statsd-port", default=8125, show_default=True)
-@click.option(
-    "--log-level",
-    type=click.Choice(["debug", "info", "warning", "error"]),
-    default="info",
-    show_default=True,
-)
-def main(
-    lease_s: float,
-    freshness_s: float,
-    hold_s: float,
-    stop_timeout_s: float,
-    **options: Any,
-) -> None:
-    """Runs one node of damasksaddle."""
-    timing = Timing(
-        lease_s=lease_s,
-        freshness_s=freshness_s,
-        hold_s=hold_s,
-        stop_timeout_s=stop_timeout_s,
-    )
-    settings = Settings(timing=timing, **options)
-    try:
-        check_settings(settings)
-    except SettingsInvalid as error:
-        click.echo(f"damasksaddled: {error}", err=True)
-        sys.exit(EXIT_SETTINGS)
+def dump_to_log(node: Node) -> None:
+    """Writes the node's state to the log, as one line of JSON."""
+    log.info("State of this VM.", state=json.dumps(dump_state(node)))
+
+
+def setting_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Gives a command one option per field of `SettingsInput`."""
+    for name, field in reversed(SettingsInput.model_fields.items()):
+        # Values are checked by the model, which knows the ranges and relations.
+        command = click.option(
+            "--" + name.replace("_", "-"),
+            default=None,
+            metavar=METAVARS.get(field.annotation, "TEXT"),
+            show_default=_shown_default(field.default),
+            envvar=variable_of(name),
+            show_envvar=True,
+            help=field.description,
+        )(command)
+    return command
+
+
+def _shown_default(default: Any) -> str | bool:
+    text = str(default)
+    return text if default is not PydanticUndefined and text else False
+
+
+@click.command()
+@setting_options
+@click.version_option(__version__, prog_name=PROGRAM)
+def command(**options: str | None) -> int:
+    """Runs one node of damasksaddle.
+
+    SIGTERM starts a planned stop that interrupts no request, a second one ends the
+    process at once. SIGUSR1 writes the state to the log. Exit status: 0 after a
+    planned stop, 2 with wrong settings, 75 after this VM was removed from the fleet.
+    """
+    given = {name: value for name, value in options.items() if value is not None}
+    settings = check_settings(given)
+    tls = load_tls(settings.tls)
     set_up_logs(settings.log_level)
-    sys.exit(asyncio.run(serve(settings)))
+    set_up_metrics(settings.statsd_host, settings.statsd_port, settings.statsd_prefix)
+    return asyncio.run(serve(settings, tls))
+
+
+def run(arguments: list[str] | None = None) -> int:
+    """Runs the daemon and returns its exit status."""
+    try:
+        status = command.main(arguments, prog_name=PROGRAM, standalone_mode=False)
+    except (click.ClickException, SettingsInvalid) as error:
+        reason = (
+            error.format_message() if isinstance(error, click.ClickException) else error
+        )
+        click.echo(f"{PROGRAM}: {reason}", err=True)
+        return EXIT_SETTINGS
+    except OSError as error:
+        # A port that is taken, or a host name that is not this machine's.
+        click.echo(f"{PROGRAM}: {error}", err=True)
+        return EXIT_FAILED
+    return status if isinstance(status, int) else 0
+
+
+def main() -> None:
+    """Runs the daemon as a program."""
+    sys.exit(run())
--- a/packages/node/src/damasksaddle_node/commit/committer.py
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -19,7 +19,8 @@
     StoreUnavailable,
 )
 from damasksaddle.platform import RowSequence, Table
-from damasksaddle.utils import get_log, new_id
+from damasksaddle.utils import Counter, count, get_log, measure, new_id
+from damasksaddle.utils import Timing as Measured
 from damasksaddle_node.commit.rows import (
     Entry,
     EntryKind,
@@ -138,6 +139,7 @@
         except PlatformError as error:
             log.warning("A stream cannot be read.", stream=self.stream, reason=error)
             return False
+        count(Counter.STREAMS_TAKEN)
         log.info("Stream taken over.", stream=self.stream, position=self.position)
         return True
 
@@ -205,6 +207,7 @@
 
     async def _write(self, batch: list[_Item]) -> None:
         assert self.position is not None
+        started_s = asyncio.get_running_loop().time()
         position = self.position + 1
         holders = self.holders if position % HOLDERS_EVERY == 0 else None
         entries = [item.entry() for item in batch]
@@ -224,6 +227,9 @@
             return
         self.position = position
         self.rows_written += 1
+        count(Counter.COMMIT_ROWS)
+        count(Counter.COMMIT_RECORDS, number=len(batch))
+        measure(Measured.COMMIT, (asyncio.get_running_loop().time() - started_s) * 1000)
         self._follow(position, row)
         for item in batch:
             if not item.done.done():
--- a/packages/node/src/damasksaddle_node/entry.py
+++ b/packages/node/src/damasksaddle_node/entry.py
@@ -28,7 +28,14 @@
     Stopping,
 )
 from damasksaddle.keys import secret_matches, split_key
-from damasksaddle.utils import digest_of, get_log, new_id, partition_of
+from damasksaddle.utils import (
+    Counter,
+    count,
+    digest_of,
+    get_log,
+    new_id,
+    partition_of,
+)
 from damasksaddle_node.fleet.lease import Freshness
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.fleet.state import Key
@@ -111,6 +118,7 @@
         route, _ = self.route(request.service, request.route)
         call = self._call_request(request, route)
         self.open_calls += 1
+        count(Counter.REQUESTS)
         try:
             async with aclosing(self._forward(call, route)) as answers:
                 async for answer in answers:
--- a/packages/node/src/damasksaddle_node/fleet/detector.py
+++ b/packages/node/src/damasksaddle_node/fleet/detector.py
@@ -16,7 +16,7 @@
     TableUnavailable,
 )
 from damasksaddle.platform import Put, Table
-from damasksaddle.utils import get_log, rendezvous
+from damasksaddle.utils import Counter, count, get_log, rendezvous
 from damasksaddle_node.fleet.lease import lease_key
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.fleet.records import FleetRecord, VmRemoved
@@ -114,6 +114,7 @@
         delete = Put(lease_key(vm_id), None, expected_version=version)
         try:
             await self._fleet.append(check, also=(delete,))
+            count(Counter.REMOVALS)
             log.warning("A member was removed.", vm=vm_id)
         except (RowTaken, _Gone):
             self._seen.pop(vm_id, None)
--- a/packages/node/src/damasksaddle_node/http/problems.py
+++ b/packages/node/src/damasksaddle_node/http/problems.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from damasksaddle.exceptions import BadRequest, NotRun, Refusal
-from damasksaddle.utils import get_log
+from damasksaddle.utils import Counter, count, get_log
 
 log = get_log("http")
 
@@ -16,6 +16,7 @@
 
 def problem(error: Refusal) -> dict[str, Any]:
     """Returns the body of a refusal; `not_run` is true, false or "unknown"."""
+    count(Counter.REFUSALS, error.code)
     values = {NotRun.YES: True, NotRun.NO: False, NotRun.UNKNOWN: "unknown"}
     body: dict[str, Any] = {
         "type": f"urn:damasksaddle:problem:{error.code}",
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -1,13 +1,14 @@
 """One node: wires the parts together and runs them as a `mode` service."""
 
 import asyncio
+import ssl
 from contextlib import suppress
 
 from aiohttp import web
 from mode import Service
 
 from damasksaddle.exceptions import NotFresh, NotRun, PlatformError, Stopping
-from damasksaddle.platform import Objects, Table, VmList
+from damasksaddle.platform import CountedTable, Objects, Table, VmList
 from damasksaddle.utils import get_log, new_id
 from damasksaddle_node.commit import CommitClient, Committers
 from damasksaddle_node.dump import dump_state
@@ -27,6 +28,7 @@
 from damasksaddle_node.programs.context import Services
 from damasksaddle_node.programs.sealed import Sealer
 from damasksaddle_node.settings import Settings
+from damasksaddle_node.tls import Tls
 from damasksaddle_node.upstreams import Upstreams
 
 log = get_log("node")
@@ -51,14 +53,17 @@
         upstreams: Upstreams,
         network: Network,
         http: bool = True,
+        tls: Tls | None = None,
     ) -> None:
         super().__init__()
+        table = CountedTable(table)
         self.settings = settings
         self.vm_id = new_id(settings.name)
         self.removed = asyncio.Event()
         self.http_url = ""
         self.admin_url = ""
         self._http = http
+        self._tls = tls or Tls()
         self._table = table
         self._runners: list[web.AppRunner] = []
         timing = settings.timing
@@ -151,7 +156,10 @@
         settings = self.settings
         api = CallerApi(self.entry, self.fleet, self.freshness, settings)
         app = caller_app(api, settings.max_body_bytes)
-        self.http_url = await self._listen(app, settings.http_host, settings.http_port)
+        bound_url = await self._listen(
+            app, settings.http_host, settings.http_port, self._tls.callers
+        )
+        self.http_url = settings.http_url or bound_url
         admin = AdminApi(
             self.fleet,
             self.changes,
@@ -160,24 +168,35 @@
             lambda: dump_state(self),
         )
         self.admin_url = await self._listen(
-            admin_app(admin), settings.admin_host, settings.admin_port
+            admin_app(admin),
+            settings.admin_host,
+            settings.admin_port,
+            self._tls.operators,
         )
 
-    async def _listen(self, app: web.Application, host: str, port: int) -> str:
+    async def _listen(
+        self,
+        app: web.Application,
+        host: str,
+        port: int,
+        tls: ssl.SSLContext | None,
+    ) -> str:
         runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, host, port)
+        site = web.TCPSite(runner, host, port, ssl_context=tls)
         await site.start()
         bound_host, bound_port = runner.addresses[0][:2]
-        return f"http://{bound_host}:{bound_port}"
+        if ":" in bound_host:
+            bound_host = f"[{bound_host}]"
+        return f"{'https' if tls else 'http'}://{bound_host}:{bound_port}"
 
     async def _join(self) -> None:
         loop = asyncio.get_running_loop()
         joined = VmJoined(
             self.vm_id,
             self.settings.failure_domain,
-            self.server.address,
+            self.settings.peer_address or self.server.address,
             self.http_url or f"http://{self.vm_id}",
         )
         while True:
--- a/packages/node/src/damasksaddle_node/programs/context.py
+++ b/packages/node/src/damasksaddle_node/programs/context.py
@@ -7,7 +7,7 @@
 
 from damasksaddle.config import Pool, Route
 from damasksaddle.exceptions import Refusal
-from damasksaddle.utils import digest_of
+from damasksaddle.utils import Timing, digest_of, measure
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.limits import Limiter
 from damasksaddle_node.pools import PoolClient
@@ -122,4 +122,5 @@
             queue_wait_ms=self.trace.queue_wait_ms + placed.waited_ms,
             reason=placed.reason,
         )
+        measure(Timing.QUEUE_WAIT, placed.waited_ms)
         return placed
--- a/packages/node/src/damasksaddle_node/programs/model.py
+++ b/packages/node/src/damasksaddle_node/programs/model.py
@@ -13,7 +13,7 @@
     UpstreamFailed,
     UpstreamUnavailable,
 )
-from damasksaddle.utils import get_log
+from damasksaddle.utils import Timing, get_log, measure
 from damasksaddle_node.programs.budget import cost_micros, prompt_tokens_at_most
 from damasksaddle_node.programs.context import JSON, MAX_TRIES, MS, CallContext
 from damasksaddle_node.programs.outcome import HTTP_OK, finished_record, wait_durable
@@ -185,6 +185,7 @@
         if output.first_token_s is None:
             output.first_token_s = self._context.now_s()
             self._context.note(first_token_ms=self._context.elapsed_ms())
+            measure(Timing.FIRST_TOKEN, self._context.elapsed_ms())
         output.text += text
         output.tokens += 1
         if self._context.call.stream:
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -26,7 +26,7 @@
     StoreUnavailable,
     UpstreamError,
 )
-from damasksaddle.utils import get_log, new_id, partition_of
+from damasksaddle.utils import Counter, count, get_log, new_id, partition_of
 from damasksaddle_node.commit import CommitClient
 from damasksaddle_node.fleet.records import FleetRecord, KeyWithdrawn
 from damasksaddle_node.peers import Handlers, PeerPool, Sender
@@ -181,6 +181,7 @@
         partition = Partition(number, opened_at, state, self._commits)
         for intent in list(state.intents.values()):
             partition.add(_unknown(intent, state))
+        count(Counter.PARTITIONS_TAKEN)
         log.info("Partition opened.", partition=number, programs=len(state.programs))
         return partition
 
--- a/packages/node/src/damasksaddle_node/programs/run.py
+++ b/packages/node/src/damasksaddle_node/programs/run.py
@@ -16,7 +16,7 @@
     StoreUnavailable,
     TurnsExceeded,
 )
-from damasksaddle.utils import get_log, new_id
+from damasksaddle.utils import Timing, get_log, measure, new_id
 from damasksaddle_node.programs.budget import reserve, settle
 from damasksaddle_node.programs.context import MS, CallContext
 from damasksaddle_node.programs.model import ModelCall
@@ -111,12 +111,14 @@
             self._check_program()
             rate_wait_s = await context.services.limiter.acquire(self.call.workspace)
             context.note(rate_wait_ms=int(rate_wait_s * MS))
+            measure(Timing.RATE_WAIT, rate_wait_s * MS)
             record = await self._within_budget()
             context.interruptible = False
             waiting = context.partition.add(record)
             if self.call.end_program:
                 self._end_program()
         durable = await wait_durable(context, waiting)
+        measure(Timing.CALL, context.elapsed_ms())
         return call_end(context, record, durable)
 
     def _earlier_outcome(self) -> CallEnd | None:
--- a/packages/node/src/damasksaddle_node/settings.py
+++ b/packages/node/src/damasksaddle_node/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a node; the command line fills them from flags and environment."""
+"""Settings of a node; `settings_input` checks and fills them."""
 
 from dataclasses import dataclass, field
 
@@ -26,6 +26,20 @@
     order_timeout_s: float = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class TlsFiles:
+    """Files with certificates and keys; "" leaves TLS out."""
+
+    http_tls_cert: str = ""
+    http_tls_key: str = ""
+    admin_tls_cert: str = ""
+    admin_tls_key: str = ""
+    peer_tls_cert: str = ""
+    peer_tls_key: str = ""
+    peer_tls_ca: str = ""
+    outgoing_ca: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """Settings of one node."""
@@ -34,8 +48,10 @@
     failure_domain: str
     http_host: str = "127.0.0.1"
     http_port: int = 0
+    http_url: str = ""
     peer_host: str = "127.0.0.1"
     peer_port: int = 0
+    peer_address: str = ""
     admin_host: str = "127.0.0.1"
     admin_port: int = 0
     table_url: str = ""
@@ -49,5 +65,7 @@
     max_undurable_micros: int = 1_000_000
     statsd_host: str = "127.0.0.1"
     statsd_port: int = 8125
+    statsd_prefix: str = "damasksaddle"
     log_level: str = "info"
     timing: Timing = Timing()
+    tls: TlsFiles = TlsFiles()
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/tls.py
@@ -0,0 +1,82 @@
+"""TLS contexts from the files that the settings name."""
+
+import ssl
+from dataclasses import dataclass
+
+from damasksaddle.exceptions import SettingsInvalid
+from damasksaddle_node.settings import TlsFiles
+
+
+@dataclass(frozen=True, slots=True)
+class Tls:
+    """The contexts of a node; None means a plain connection."""
+
+    callers: ssl.SSLContext | None = None
+    operators: ssl.SSLContext | None = None
+    peer_server: ssl.SSLContext | None = None
+    peer_client: ssl.SSLContext | None = None
+    outgoing: ssl.SSLContext | None = None
+
+
+def load_tls(files: TlsFiles) -> Tls:
+    """Returns the contexts; raises `SettingsInvalid` if a file cannot be used."""
+    return Tls(
+        callers=_server("http", files.http_tls_cert, files.http_tls_key),
+        operators=_server("admin", files.admin_tls_cert, files.admin_tls_key),
+        peer_server=_peer(files, ssl.Purpose.CLIENT_AUTH),
+        peer_client=_peer(files, ssl.Purpose.SERVER_AUTH),
+        outgoing=_outgoing(files.outgoing_ca),
+    )
+
+
+def _server(flag: str, cert: str, key: str) -> ssl.SSLContext | None:
+    if not cert:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    _load_chain(context, flag, cert, key)
+    return context
+
+
+def _peer(files: TlsFiles, purpose: ssl.Purpose) -> ssl.SSLContext | None:
+    if not files.peer_tls_cert:
+        return None
+    context = ssl.create_default_context(purpose)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    # VMs are replaced at any time, so certificates cannot name their addresses. The
+    # CA is the fleet's own, and `Hello` proves which VM answers.
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    _load_chain(context, "peer", files.peer_tls_cert, files.peer_tls_key)
+    _load_ca(context, "--peer-tls-ca", files.peer_tls_ca)
+    return context
+
+
+def _outgoing(ca: str) -> ssl.SSLContext | None:
+    if not ca:
+        return None
+    context = ssl.create_default_context()
+    _load_ca(context, "--outgoing-ca", ca)
+    return context
+
+
+def _load_chain(context: ssl.SSLContext, flag: str, cert: str, key: str) -> None:
+    try:
+        # An encrypted key must fail; without a password OpenSSL asks the terminal.
+        context.load_cert_chain(cert, key, password="")
+    except (OSError, ssl.SSLError, ValueError) as error:
+        raise SettingsInvalid(
+            f"--{flag}-tls-cert and --{flag}-tls-key: {_reason(error)}"
+        ) from error
+
+
+def _load_ca(context: ssl.SSLContext, flag: str, path: str) -> None:
+    try:
+        context.load_verify_locations(path)
+    except (OSError, ssl.SSLError) as error:
+        raise SettingsInvalid(f"{flag}: {_reason(error)}") from error
+
+
+def _reason(error: Exception) -> str:
+    if isinstance(error, ssl.SSLError):
+        return f"not usable ({error.reason or error})"
+    return str(error)
--- a/tests/cli/test_session.py
+++ b/tests/cli/test_session.py
@@ -70,7 +70,10 @@
 
 
 async def start_fleet(processes: Processes, platform: str, size: int):
-    env = {"DAMASKSADDLE_FLEET_SECRET": "s", "DAMASKSADDLE_OPERATOR_TOKEN": TOKEN}
+    env = {
+        "DAMASKSADDLE_FLEET_SECRET": "secret-of-the-test-fleet",
+        "DAMASKSADDLE_OPERATOR_TOKEN": TOKEN,
+    }
     return [
         await processes.start(
             "damasksaddle_node",
