Add the documentation site

Cause: there were a design page and a glossary, and nothing for callers, operators or new developers.

Change: a MkDocs site with quick start, user guide, operator guide (one page per thing that can go wrong), developer guide and release notes. tools/make_reference.py writes the reference from the pydantic models, click commands, metrics and refusals; a test compares the page with the code, and another one builds the site strictly. All fields of service documents have descriptions.

Ruled out: a documentation plugin for models and commands, because the page would then not be readable in the repository.

The site test fails on a link to a page that is missing.

--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,8 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+docs: setup
+	$(BIN)/mkdocs build --strict --site-dir build/site
+
 clean:
 	rm -rf $(VENV)
--- a/packages/core/src/damasksaddle/config/documents.py
+++ b/packages/core/src/damasksaddle/config/documents.py
@@ -45,9 +45,11 @@
 class Upstream(Part):
     """One upstream of a pool."""
 
-    name: Name
-    url: Annotated[str, Field(pattern=r"^https?://")]
-    failure_domain: Name
+    name: Name = Field(description="Unique among the pools of the service.")
+    url: Annotated[str, Field(pattern=r"^https?://")] = Field(
+        description="Base URL; paths are added to it."
+    )
+    failure_domain: Name = Field(description="Preferred for calls that start there.")
     slots: Annotated[int, Field(ge=1, le=4096)] = Field(
         default=8, description="Calls that run there at the same time."
     )
@@ -61,14 +63,23 @@
 class Pool(Part):
     """Upstreams that can serve the same calls."""
 
-    kind: RouteKind
-    upstreams: Annotated[list[Upstream], Field(min_length=1)]
-    policy: Policy = Policy.PROGRAM_FAIR
+    kind: RouteKind = Field(description="Model engines, or plain services.")
+    upstreams: Annotated[list[Upstream], Field(min_length=1)] = Field(
+        description="At least one."
+    )
+    policy: Policy = Field(
+        default=Policy.PROGRAM_FAIR,
+        description="How the queue is ordered and an upstream is chosen.",
+    )
     model: str = Field(default="", description="Model that the engines must hold.")
-    adapter: str = ""
-    version: str = ""
-    prompt_micros_per_ktoken: Annotated[int, Field(ge=0)] = 0
-    output_micros_per_ktoken: Annotated[int, Field(ge=0)] = 0
+    adapter: str = Field(default="", description="Adapter on the model.")
+    version: str = Field(default="", description="Version of the model.")
+    prompt_micros_per_ktoken: Annotated[int, Field(ge=0)] = Field(
+        default=0, description="Price of 1,000 prompt tokens, in millionths."
+    )
+    output_micros_per_ktoken: Annotated[int, Field(ge=0)] = Field(
+        default=0, description="Price of 1,000 output tokens, in millionths."
+    )
     call_micros: Annotated[int, Field(ge=0)] = Field(
         default=0, description="Price of a call to a plain service, in millionths."
     )
@@ -80,7 +91,9 @@
     max_tokens: Annotated[int, Field(ge=1)] = Field(
         default=512, description="Output tokens of a call that states none."
     )
-    max_queue: Annotated[int, Field(ge=1)] = 2000
+    max_queue: Annotated[int, Field(ge=1)] = Field(
+        default=2000, description="Calls that may wait; more are refused at once."
+    )
     keep_cache_s: Annotated[float, Field(ge=0)] = Field(
         default=60.0, description="How long a program's cache is kept between calls."
     )
@@ -89,22 +102,33 @@
 class Route(Part):
     """A kind of call that callers can make."""
 
-    pool: Name
+    pool: Name = Field(description="Pool whose upstreams take the calls.")
     path: str = Field(default="/", description="Path at a plain upstream.")
     open: bool = Field(default=False, description="Needs no workspace key.")
-    repeat: Repeat = Repeat.SAFE
+    repeat: Repeat = Field(
+        default=Repeat.SAFE,
+        description="Whether a call may be sent again when its fate is not known.",
+    )
     workspaces: list[Name] | None = Field(
         default=None, description="Who may use it; all workspaces if left out."
     )
-    timeout_s: Annotated[float, Field(gt=0, le=3600)] = 120.0
+    timeout_s: Annotated[float, Field(gt=0, le=3600)] = Field(
+        default=120.0, description="Longest time for a call, with all waits."
+    )
 
 
 class Workspace(Part):
     """A workspace's share."""
 
-    rate_per_s: Annotated[float, Field(gt=0)]
-    burst: Annotated[int, Field(ge=1)]
-    weight: Annotated[float, Field(gt=0)] = 1.0
+    rate_per_s: Annotated[float, Field(gt=0)] = Field(
+        description="Requests per second over the whole fleet."
+    )
+    burst: Annotated[int, Field(ge=1)] = Field(
+        description="Requests that may come at once after a pause."
+    )
+    weight: Annotated[float, Field(gt=0)] = Field(
+        default=1.0, description="Share of a pool's tokens while others wait too."
+    )
     max_wait_ms: Annotated[int, Field(ge=0, le=60_000)] = Field(
         default=2000, description="How long a request may wait for the rate."
     )
@@ -113,17 +137,37 @@
 class ProgramLimits(Part):
     """What one program may use."""
 
-    budget_micros: Annotated[int, Field(ge=0)] = 10_000_000
-    max_turns: Annotated[int, Field(ge=1)] = 230
-    max_history_bytes: Annotated[int, Field(ge=1)] = 2_000_000
-    idle_timeout_s: Annotated[float, Field(gt=0)] = 3600.0
+    budget_micros: Annotated[int, Field(ge=0)] = Field(
+        default=10_000_000,
+        description="Budget of a root program and its sub-agents, in millionths; "
+        "a caller can ask for less.",
+    )
+    max_turns: Annotated[int, Field(ge=1)] = Field(
+        default=230, description="Calls of one program; ends endless loops."
+    )
+    max_history_bytes: Annotated[int, Field(ge=1)] = Field(
+        default=2_000_000, description="Size of a program's messages."
+    )
+    idle_timeout_s: Annotated[float, Field(gt=0)] = Field(
+        default=3600.0, description="A program without calls for so long is ended."
+    )
 
 
 class ServiceDocument(Part):
     """The document of one service."""
 
-    service: Name
-    pools: Annotated[dict[Name, Pool], Field(min_length=1)]
-    routes: Annotated[dict[Name, Route], Field(min_length=1)]
-    workspaces: dict[Name, Workspace] = {}
-    program: ProgramLimits = ProgramLimits()
+    service: Name = Field(description="First part of the names of its routes.")
+    pools: Annotated[dict[Name, Pool], Field(min_length=1)] = Field(
+        description="Upstreams, by the name of their pool."
+    )
+    routes: Annotated[dict[Name, Route], Field(min_length=1)] = Field(
+        description="What callers can call, by name."
+    )
+    workspaces: dict[Name, Workspace] = Field(
+        default={},
+        description="Limits by workspace. One document declares a workspace; all "
+        "documents can use it. `open` stands for the callers of open routes.",
+    )
+    program: ProgramLimits = Field(
+        default=ProgramLimits(), description="What one program may use."
+    )
--- a/packages/node/src/damasksaddle_node/entry.py
+++ b/packages/node/src/damasksaddle_node/entry.py
@@ -11,7 +11,7 @@
 from contextlib import aclosing
 from dataclasses import dataclass
 
-from damasksaddle.config import Repeat, Route, RouteKind
+from damasksaddle.config import OPEN_WORKSPACE, Repeat, Route, RouteKind
 from damasksaddle.exceptions import (
     BadRequest,
     FateUnknown,
@@ -56,7 +56,6 @@
 # How long an entry VM looks for a program's owner, in leases: the old lease must
 # run out, be noticed, and be removed.
 OWNER_WAIT_LEASES = 3
-OPEN_WORKSPACE = "open"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/damasksaddle_node/settings_input.py
+++ b/packages/node/src/damasksaddle_node/settings_input.py
@@ -236,6 +236,12 @@
     return "--" + name.replace("_", "-")
 
 
+RELATIONS = [
+    *(f"`{_flag(a)}` is shorter than `{_flag(b)}`" for a, b in _SHORTER),
+    *(f"`{_flag(a)}` does not exceed `{_flag(b)}`" for a, b in _NOT_LONGER),
+]
+
+
 def _is_any_address(host: str) -> bool:
     try:
         return ip_address(host).is_unspecified
