--- a/packages/node/src/damasksaddle_node/entry.py
+++ b/packages/node/src/damasksaddle_node/entry.py
@@ -11,7 +11,7 @@
 from contextlib import aclosing
 from dataclasses import dataclass
 
-from damasksaddle.config import Route, RouteKind
+from damasksaddle.config import OPEN_WORKSPACE, Route, RouteKind
 from damasksaddle.exceptions import (
     BadRequest,
     FateUnknown,
@@ -29,7 +29,14 @@
     Stopping,
 )
 from damasksaddle.keys import secret_matches, split_key
-from damasksaddle.utils import digest_of, get_log, new_id, partition_of
+from damasksaddle.utils import (
+    Counter,
+    count,
+    digest_of,
+    get_log,
+    new_id,
+    partition_of,
+)
 from damasksaddle_node.fleet.lease import Freshness
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.fleet.state import Key
@@ -50,7 +57,6 @@
 # How long an entry VM looks for a program's owner, in leases: the old lease must
 # run out, be noticed, and be removed.
 OWNER_WAIT_LEASES = 3
-OPEN_WORKSPACE = "open"
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +125,7 @@
         route, _ = self.route(request.service, request.route)
         call = self._call_request(request, route)
         self.open_calls += 1
+        count(Counter.REQUESTS)
         try:
             async with aclosing(self._forward(call)) as answers:
                 async for answer in answers:
--- a/packages/node/src/damasksaddle_node/programs/run.py
+++ b/packages/node/src/damasksaddle_node/programs/run.py
@@ -19,7 +19,7 @@
     StoreUnavailable,
     TurnsExceeded,
 )
-from damasksaddle.utils import get_log, new_id
+from damasksaddle.utils import Timing, get_log, measure, new_id
 from damasksaddle_node.programs.budget import reserve, settle
 from damasksaddle_node.programs.context import MS, CallContext
 from damasksaddle_node.programs.model import ModelCall
@@ -122,6 +122,7 @@
             record = earlier or await self._run_once()
             waiting = partition.waiting_for(record)
         durable = waiting is None or await wait_durable(context, waiting)
+        measure(Timing.CALL, context.elapsed_ms())
         return call_end(context, record, durable, replayed=earlier is not None)
 
     async def _run_once(self) -> CallFinished:
@@ -129,6 +130,7 @@
         self._check_program()
         rate_wait_s = await context.services.limiter.acquire(self.call.workspace)
         context.note(rate_wait_ms=int(rate_wait_s * MS))
+        measure(Timing.RATE_WAIT, rate_wait_s * MS)
         record = await self._within_budget()
         context.interruptible = False
         context.partition.add(record)
