Check callers' requests at the border and answer every one with a problem

A body with the caller's key in it reached the engine (200 instead of 400), a nested body and a bad gzip body ended in a plain 500, refusals of the HTTP parser were text and no problem, binary answers of plain services were changed (byte 0x80 became EF BF BD), multipart boundaries and charsets were dropped, redirects of a plain service were followed, which sends a filing twice, and cookies of one workspace's call could be sent with another's. Streamed chunks had two ids.

Change: `http/parsing.py` holds pydantic models of bodies and options and refuses what does not fit before a call has an id. Key-shaped text, and the secret that authenticates the request, are refused in bodies, names and content types. A runner answers parser errors with problems and logs only the type of the error, since its text quotes the request. Unknown failures say `not_run: "unknown"`. 429 and 503 carry Retry-After. `POST /v1/programs` starts a program with a budget. Sampling parameters reach the engine; `tools`, `n` above 1 and `logprobs` are refused instead of being ignored. Bodies that take longer than 60 s and callers that read nothing for 60 s are given up.

Ruled out: removing keys from bodies silently, because a call would then run with another body than the caller sent.

--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -84,6 +84,12 @@
     title = "The program has ended."
 
 
+class ProgramExists(Refusal):
+    code = "program_exists"
+    status = 409
+    title = "The workspace has a program of this name with another budget."
+
+
 class HistoryMismatch(Refusal):
     code = "history_mismatch"
     status = 409
--- a/packages/node/src/damasksaddle_node/commands/serve.py
+++ b/packages/node/src/damasksaddle_node/commands/serve.py
@@ -27,7 +27,9 @@
     """Runs a node until it is stopped or removed; returns the exit status."""
     platform_timeout_s = settings.timing.peer_timeout_s
     async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0)
+        connector=aiohttp.TCPConnector(limit=0),
+        # A cookie that one workspace's call brings must not go out with another's.
+        cookie_jar=aiohttp.DummyCookieJar(),
     ) as session:
         node = Node(
             settings,
--- a/packages/node/src/damasksaddle_node/entry.py
+++ b/packages/node/src/damasksaddle_node/entry.py
@@ -68,6 +68,7 @@
     stream: bool = False
     sealed: str = ""
     history_mode: str = "append"
+    call_id: str = ""
 
 
 class Entry:
@@ -135,7 +136,7 @@
         else:
             program_id = new_id("single")
         return CallRequest(
-            call_id=new_id("call"),
+            call_id=request.call_id or new_id("call"),
             workspace=workspace,
             key_id=key_id,
             service=request.service,
@@ -194,6 +195,30 @@
             raise NotOwner("the fleet has no members")
         return owner
 
+    async def start_program(
+        self, key: str, program_id: str, service: str, budget_micros: int
+    ) -> bytes:
+        """
+        Starts a program with a budget, -1 for the document's; returns it as JSON.
+
+        Without a service it is that of the document which declares the workspace.
+        """
+        workspace = self.authenticate(key).workspace
+        check_program_id(program_id)
+        state = self._fleet.state
+        if not service:
+            declaring = (
+                name
+                for name, version in state.documents.items()
+                if workspace in version.document.workspaces
+            )
+            service = next(declaring, "")
+        if state.document(service) is None:
+            raise RouteNotFound(f"there is no service {service}")
+        owner = self._owner(workspace, program_id)
+        message = ProgramQuery(workspace, program_id, "start", service, budget_micros)
+        return await self._query(owner, message)
+
     async def query(self, key: str, program_id: str, action: str) -> bytes:
         """Returns the JSON answer of a program's owner; raises `Refusal`."""
         workspace = self.authenticate(key).workspace
@@ -236,8 +261,12 @@
     """Raises `BadRequest` unless a program id has the form `ROOT[/NAME]...`."""
     parts = program_id.split("/")
     good = len(program_id) <= PROGRAM_ID_LENGTH and all(
-        part and all(c.isascii() and (c.isalnum() or c in "-_.") for c in part)
+        part.strip(".")
+        and all(c.isascii() and (c.isalnum() or c in "-_.") for c in part)
         for part in parts
     )
     if not good:
-        raise BadRequest("a program id has letters, digits, '-', '_', '.' and '/'")
+        raise BadRequest(
+            "a program id has letters, digits, '-', '_' and '.' in parts that are "
+            f"separated by '/', and at most {PROGRAM_ID_LENGTH} characters"
+        )
--- a/packages/node/src/damasksaddle_node/http/app.py
+++ b/packages/node/src/damasksaddle_node/http/app.py
@@ -1,12 +1,13 @@
 """The callers' interface."""
 
+import asyncio
 import json
-import time
 from contextlib import aclosing
 from dataclasses import replace
 from typing import Any
 
 from aiohttp import hdrs, web
+from aiohttp.http import HttpProcessingError
 
 from damasksaddle.config import RouteKind
 from damasksaddle.exceptions import (
@@ -16,17 +17,38 @@
     Refusal,
     RouteNotFound,
 )
+from damasksaddle.utils import new_id
 from damasksaddle_node.addresses import addresses
 from damasksaddle_node.entry import CallerRequest, Entry
 from damasksaddle_node.fleet.lease import Freshness
 from damasksaddle_node.fleet.log import FleetLog
-from damasksaddle_node.http.problems import problem, refusals_as_problems
+from damasksaddle_node.http.parsing import (
+    HEADER,
+    ProgramBody,
+    chat_of,
+    checked,
+    json_object,
+    key_of,
+    plain_of,
+    refuse_keys,
+)
+from damasksaddle_node.http.problems import expect_continue, refusals_as_problems
+from damasksaddle_node.http.rendering import (
+    EventStream,
+    completion,
+    plain_response,
+    with_headers,
+)
 from damasksaddle_node.programs.records import OUTCOME, CallOutcome
 from damasksaddle_node.settings import Settings
 from damasksaddle_protocol import CallChunk, CallEnd
 
-HEADER = "X-Damasksaddle-"
-OPTIONS = "damasksaddle"
+JSON = "application/json"
+# How long a whole body may take to arrive.
+BODY_TIMEOUT_S = 60.0
+# A caller that reads nothing for so long is disconnected, so that it cannot hold a
+# leaving VM or its memory for ever.
+WRITE_TIMEOUT_S = 60.0
 
 
 class CallerApi:
@@ -46,9 +68,11 @@
             web.get("/healthz", self.health),
             web.get("/v1/addresses", self.addresses),
             web.get("/v1/models", self.models),
+            web.get("/v1/models/{model:.+}", self.model),
             web.post("/v1/chat/completions", self.chat),
             web.post("/v1/services/{service}/{route}", self.plain),
             web.get("/v1/programs", self.list_programs),
+            web.post("/v1/programs", self.start_program),
             web.get("/v1/programs/{program_id:.+}", self.read_program),
             web.post("/v1/programs/{program_id:.+}/end", self.end_program),
         ]
@@ -61,7 +85,7 @@
         program_id = request.query.get("program", "")
         workspace = ""
         if program_id:
-            workspace = self._entry.authenticate(_key(request)).workspace
+            workspace = self._entry.authenticate(key_of(request)).workspace
         return web.json_response(
             addresses(
                 self._fleet.state,
@@ -73,46 +97,63 @@
         )
 
     async def models(self, request: web.Request) -> web.Response:
-        self._entry.authenticate(_key(request))
-        found = [
-            {"id": f"{service}/{name}", "object": "model", "owned_by": service}
+        return web.json_response({"object": "list", "data": self._models(request)})
+
+    async def model(self, request: web.Request) -> web.Response:
+        for model in self._models(request):
+            if model["id"] == request.match_info["model"]:
+                return web.json_response(model)
+        raise RouteNotFound("there is no such model")
+
+    def _models(self, request: web.Request) -> list[dict[str, Any]]:
+        """Returns the model routes that the caller's workspace may use."""
+        workspace = self._entry.authenticate(key_of(request)).workspace
+        return [
+            {
+                "id": f"{service}/{name}",
+                "object": "model",
+                "created": version.at_unix_s,
+                "owned_by": service,
+            }
             for service, version in self._fleet.state.documents.items()
             for name, route in version.document.routes.items()
             if version.document.pools[route.pool].kind is RouteKind.MODEL
+            and (route.workspaces is None or workspace in route.workspaces)
         ]
-        return web.json_response({"object": "list", "data": found})
 
     async def chat(self, request: web.Request) -> web.StreamResponse:
-        raw = await self._body(request)
-        try:
-            body = json.loads(raw)
-        except ValueError as error:
-            raise BadRequest("the body is not JSON") from error
-        if not isinstance(body, dict):
-            raise BadRequest("the body is not a JSON object")
-        options = body.pop(OPTIONS, None) or {}
-        if not isinstance(options, dict):
-            raise BadRequest(f"{OPTIONS} is not an object")
-        model = body.get("model")
-        service, _, route = str(model or "").partition("/")
-        if not route:
-            raise RouteNotFound("model names a route as SERVICE/ROUTE")
-        if self._entry.route(service, route)[1] is not RouteKind.MODEL:
-            raise RouteNotFound(f"{service}/{route} is not a model route")
-        stream = body.pop("stream", False) is True
-        call = _caller_request(request, options, service, route, stream)
-        # The body is put in one form, so that a repeat has the same digest.
-        call = _with_body(call, json.dumps(body, sort_keys=True).encode())
-        if stream:
-            return await self._stream_chat(request, call, str(model))
+        call, model = chat_of(request, await self._body(request))
+        self._check_kind(call, RouteKind.MODEL)
+        if call.stream:
+            return await self._stream_chat(request, call, model)
         outcome = await self._outcome(call)
-        return _answer(web.json_response(_completion(outcome, str(model))), outcome)
+        response = web.json_response(completion(outcome, model))
+        return with_headers(response, outcome, sealed=False)
 
     async def _body(self, request: web.Request) -> bytes:
+        """Returns a request's body; raises `Refusal`."""
+        if (request.content_length or 0) > self._settings.max_body_bytes:
+            raise BodyTooLarge
         try:
-            return await request.read()
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                return await request.read()
         except web.HTTPRequestEntityTooLarge as error:
             raise BodyTooLarge from error
+        except (HttpProcessingError, web.RequestPayloadError) as error:
+            raise BadRequest("the body does not fit its headers") from error
+        except TimeoutError as error:
+            raise BadRequest("the body took too long to arrive") from error
+
+    def _check_kind(self, call: CallerRequest, kind: RouteKind) -> None:
+        """Raises `Refusal` unless a route of this kind exists."""
+        try:
+            found = self._entry.route(call.service, call.route)[1]
+        except RouteNotFound:
+            # Which routes exist is shown to callers with a key only.
+            self._entry.authenticate(call.key)
+            raise
+        if found is not kind:
+            raise RouteNotFound(f"{call.service}/{call.route} is not a {kind} route")
 
     async def _outcome(self, call: CallerRequest) -> CallOutcome:
         async with aclosing(self._entry.call(call)) as answers:
@@ -124,6 +165,8 @@
     async def _stream_chat(
         self, request: web.Request, call: CallerRequest, model: str
     ) -> web.StreamResponse:
+        call = replace(call, call_id=new_id("call"))
+        events = EventStream(call.call_id, model)
         answers = self._entry.call(call)
         async with aclosing(answers):
             # Refusals before the first piece still get their own status.
@@ -132,42 +175,44 @@
                 headers={
                     hdrs.CONTENT_TYPE: "text/event-stream",
                     hdrs.CACHE_CONTROL: "no-store",
+                    HEADER + "Call": call.call_id,
                 }
             )
             await response.prepare(request)
             try:
-                await _send_event(response, first, model)
+                await _send(response, _event(events, first))
                 async for answer in answers:
-                    await _send_event(response, answer, model)
-                await response.write(b"data: [DONE]\n\n")
+                    await _send(response, _event(events, answer))
             except Refusal as error:
-                data = json.dumps(problem(error))
-                await response.write(f"event: error\ndata: {data}\n\n".encode())
+                await _send(response, events.failure(error))
         await response.write_eof()
         return response
 
     async def plain(self, request: web.Request) -> web.Response:
-        body = await self._body(request)
-        service = request.match_info["service"]
-        route = request.match_info["route"]
-        if self._entry.route(service, route)[1] is not RouteKind.PLAIN:
-            raise RouteNotFound(f"{service}/{route} is not a plain route")
-        call = _caller_request(request, {}, service, route, False)
-        call = _with_body(call, body)
-        outcome = await self._outcome(call)
-        response = web.Response(
-            body=outcome.body.encode(),
-            status=outcome.http_status,
-            content_type=outcome.content_type,
-        )
-        return _answer(response, outcome)
+        call = plain_of(request, await self._body(request))
+        self._check_kind(call, RouteKind.PLAIN)
+        return plain_response(await self._outcome(call))
 
     async def list_programs(self, request: web.Request) -> web.Response:
-        workspace = self._entry.authenticate(_key(request)).workspace
+        workspace = self._entry.authenticate(key_of(request)).workspace
         lists = await self._entry.list_programs(workspace)
         programs = [item for text in lists for item in json.loads(text)]
         return web.json_response({"programs": programs})
 
+    async def start_program(self, request: web.Request) -> web.Response:
+        key = key_of(request)
+        self._entry.authenticate(key)
+        raw = await self._body(request)
+        body = checked(ProgramBody, json_object(raw))
+        refuse_keys(key, raw)
+        answer = await self._entry.start_program(
+            key,
+            body.program or new_id("program"),
+            body.service,
+            -1 if body.budget is None else body.budget,
+        )
+        return web.Response(body=answer, status=201, content_type=JSON)
+
     async def read_program(self, request: web.Request) -> web.Response:
         return await self._query(request, "read")
 
@@ -176,135 +221,25 @@
 
     async def _query(self, request: web.Request, action: str) -> web.Response:
         program_id = request.match_info["program_id"]
-        body = await self._entry.query(_key(request), program_id, action)
-        return web.Response(body=body, content_type="application/json")
-
-
-def _key(request: web.Request) -> str:
-    scheme, _, key = request.headers.get(hdrs.AUTHORIZATION, "").partition(" ")
-    return key.strip() if scheme.lower() == "bearer" else ""
-
+        body = await self._entry.query(key_of(request), program_id, action)
+        return web.Response(body=body, content_type=JSON)
 
-def _caller_request(
-    request: web.Request,
-    options: dict[str, Any],
-    service: str,
-    route: str,
-    stream: bool,
-) -> CallerRequest:
-    def option(name: str) -> str:
-        header = HEADER + name.replace("_", "-").title()
-        return str(options.get(name, request.headers.get(header, "")))
 
-    program_id = option("program")
-    parent = option("parent")
-    if parent:
-        program_id = f"{parent}/{program_id}"
-    return CallerRequest(
-        key=_key(request),
-        service=service,
-        route=route,
-        body=b"",
-        content_type=request.content_type,
-        program_id=program_id,
-        idempotency_key=option("idempotency_key")
-        or request.headers.get("Idempotency-Key", ""),
-        budget_micros=_number(option("budget"), -1),
-        timeout_ms=_number(option("deadline_ms"), 0),
-        stream=stream,
-        sealed=option("sealed"),
-        history_mode="full" if option("history") == "full" else "append",
-    )
-
-
-def _with_body(call: CallerRequest, body: bytes) -> CallerRequest:
-    return replace(call, body=body)
-
-
-def _number(text: str, default: int) -> int:
-    if not text:
-        return default
-    if not text.isdecimal() or len(text) > 12:
-        raise BadRequest(f"{text!r} is not a number")
-    return int(text)
-
-
-def _completion(outcome: CallOutcome, model: str) -> dict[str, Any]:
-    answer = json.loads(outcome.body)
-    return {
-        "id": outcome.call_id,
-        "object": "chat.completion",
-        "created": int(time.time()),
-        "model": model,
-        "choices": [
-            {
-                "index": 0,
-                "message": {"role": "assistant", "content": answer["text"]},
-                "finish_reason": answer["finish_reason"],
-            }
-        ],
-        "usage": _usage(outcome),
-        OPTIONS: _details(outcome),
-    }
-
-
-def _usage(outcome: CallOutcome) -> dict[str, int]:
-    return {
-        "prompt_tokens": outcome.prompt_tokens,
-        "completion_tokens": outcome.output_tokens,
-        "total_tokens": outcome.prompt_tokens + outcome.output_tokens,
-    }
-
-
-def _details(outcome: CallOutcome) -> dict[str, Any]:
-    return {
-        "program": outcome.program_id,
-        "upstream": outcome.upstream,
-        "owner": outcome.trace.owner_vm,
-        "charge_micros": outcome.charge_micros,
-        "durable": outcome.durable,
-        "sealed": outcome.sealed,
-        "replayed": outcome.replayed,
-        "total_ms": outcome.trace.total_ms,
-    }
-
-
-def _answer(response: web.Response, outcome: CallOutcome) -> web.Response:
-    response.headers[HEADER + "Call"] = outcome.call_id
-    response.headers[HEADER + "Program"] = outcome.program_id
-    response.headers[HEADER + "Charge-Micros"] = str(outcome.charge_micros)
-    response.headers[HEADER + "Durable"] = str(outcome.durable).lower()
-    if outcome.replayed:
-        response.headers[HEADER + "Replayed"] = "true"
-    if outcome.sealed:
-        response.headers[HEADER + "Sealed"] = outcome.sealed
-    return response
+def _event(events: EventStream, answer: CallChunk | CallEnd) -> bytes:
+    match answer:
+        case CallChunk(text):
+            return events.piece(text)
+        case CallEnd(outcome):
+            return events.end(OUTCOME.validate_json(outcome))
 
 
-async def _send_event(
-    response: web.StreamResponse, event: CallChunk | CallEnd, model: str
-) -> None:
-    chunk: dict[str, Any] = {
-        "id": "chatcmpl",
-        "object": "chat.completion.chunk",
-        "created": int(time.time()),
-        "model": model,
-    }
-    match event:
-        case CallChunk(text):
-            delta = {"role": "assistant", "content": text}
-            chunk["choices"] = [{"index": 0, "delta": delta, "finish_reason": None}]
-        case CallEnd():
-            outcome = OUTCOME.validate_json(event.outcome)
-            answer = json.loads(outcome.body)
-            delta = {"content": answer["text"]} if outcome.replayed else {}
-            chunk["id"] = outcome.call_id
-            chunk["choices"] = [
-                {"index": 0, "delta": delta, "finish_reason": answer["finish_reason"]}
-            ]
-            chunk["usage"] = _usage(outcome)
-            chunk[OPTIONS] = _details(outcome)
-    await response.write(f"data: {json.dumps(chunk)}\n\n".encode())
+async def _send(response: web.StreamResponse, data: bytes) -> None:
+    """Writes to a caller; raises `ConnectionError` if it reads nothing."""
+    try:
+        async with asyncio.timeout(WRITE_TIMEOUT_S):
+            await response.write(data)
+    except TimeoutError as error:
+        raise ConnectionResetError("the caller does not read") from error
 
 
 def caller_app(api: CallerApi, max_body_bytes: int) -> web.Application:
@@ -312,5 +247,8 @@
     app = web.Application(
         middlewares=[refusals_as_problems], client_max_size=max_body_bytes
     )
-    app.add_routes(api.routes())
+    for route in api.routes():
+        app.router.add_route(
+            route.method, route.path, route.handler, expect_handler=expect_continue
+        )
     return app
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -20,6 +20,7 @@
 from damasksaddle_node.fleet.vouching import Vouching
 from damasksaddle_node.http.admin import AdminApi, admin_app
 from damasksaddle_node.http.app import CallerApi, caller_app
+from damasksaddle_node.http.problems import ProblemRunner
 from damasksaddle_node.limits import Limiter
 from damasksaddle_node.peers import Handlers, Network, PeerPool, PeerServer
 from damasksaddle_node.pools import PoolClient, PoolSchedulers
@@ -164,7 +165,7 @@
         )
 
     async def _listen(self, app: web.Application, host: str, port: int) -> str:
-        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        runner = ProblemRunner(app, access_log=None, handler_cancellation=True)
         await runner.setup()
         self._runners.append(runner)
         site = web.TCPSite(runner, host, port)
--- a/packages/node/src/damasksaddle_node/peers/server.py
+++ b/packages/node/src/damasksaddle_node/peers/server.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from damasksaddle.exceptions import PeerError, Refusal
+from damasksaddle.exceptions import NotRun, PeerError, Refusal
 from damasksaddle.utils import get_log
 from damasksaddle_node.peers.handshake import greet_as_server
 from damasksaddle_node.peers.network import Close, Network
@@ -186,13 +186,13 @@
             except Refusal as error:
                 self._write(frame.request_id, failure_from(error))
             except TimeoutError:
-                refusal = Refusal("the request took too long")
+                refusal = Refusal("the request took too long", not_run=NotRun.UNKNOWN)
                 self._write(frame.request_id, failure_from(refusal))
             except (OSError, asyncio.CancelledError):
                 raise
             except Exception as error:
                 log.error("A handler failed.", error=repr(error))
-                refusal = Refusal("internal error", not_run=None)
+                refusal = Refusal("internal error", not_run=NotRun.UNKNOWN)
                 self._write(frame.request_id, failure_from(refusal))
             await self._writer.drain()
 
--- a/packages/node/src/damasksaddle_node/programs/model.py
+++ b/packages/node/src/damasksaddle_node/programs/model.py
@@ -18,7 +18,7 @@
 from damasksaddle_node.programs.context import JSON, MAX_TRIES, MS, CallContext
 from damasksaddle_node.programs.outcome import HTTP_OK, finished_record, wait_durable
 from damasksaddle_node.programs.records import CallFinished, Outcome
-from damasksaddle_node.upstreams import EngineDone, EngineRequest, EngineToken
+from damasksaddle_node.upstreams import SAMPLING, EngineDone, EngineRequest, EngineToken
 from damasksaddle_protocol import CallChunk, Finish, Placed
 
 log = get_log("programs")
@@ -107,7 +107,7 @@
                 self._prompt_bytes(body), max_tokens, excluded
             )
             try:
-                await self._stream(placed, added, max_tokens)
+                await self._stream(placed, body, added, max_tokens)
                 return
             except UpstreamError as error:
                 log.warning(
@@ -123,7 +123,9 @@
             raise UpstreamFailed
         raise UpstreamUnavailable(retry_after_s=1.0)
 
-    async def _stream(self, placed: Placed, added: list[str], max_tokens: int) -> None:
+    async def _stream(
+        self, placed: Placed, body: dict[str, Any], added: list[str], max_tokens: int
+    ) -> None:
         started_s = self._context.now_s()
         finish = Finish(
             self._context.call.call_id,
@@ -136,7 +138,7 @@
             # The engine may act on the call from here on.
             self._context.services.guard()
             output.upstream = placed.upstream
-            await self._relay(placed.url, added, max_tokens)
+            await self._relay(placed.url, body, added, max_tokens)
         except UpstreamError:
             finish.failed = True
             raise
@@ -149,7 +151,9 @@
             finish.program_ended = self._context.call.end_program
             self._context.services.pools.finish(finish)
 
-    async def _relay(self, url: str, added: list[str], max_tokens: int) -> None:
+    async def _relay(
+        self, url: str, body: dict[str, Any], added: list[str], max_tokens: int
+    ) -> None:
         output = self._context.output
         messages = [
             json.loads(text) for text in [*self._context.program.messages, *added]
@@ -162,6 +166,7 @@
             max_tokens=max_tokens - output.tokens,
             resume_text=output.text,
             keep=not self._context.call.end_program,
+            sampling={name: body[name] for name in SAMPLING if name in body},
         )
         events = self._context.services.upstreams.generate(url, request)
         async with aclosing(events) as stream:
--- a/packages/node/src/damasksaddle_node/programs/outcome.py
+++ b/packages/node/src/damasksaddle_node/programs/outcome.py
@@ -29,6 +29,7 @@
     messages: list[str] | None = None,
     charge_micros: int = 0,
     held: bool = False,
+    binary: bool = False,
 ) -> CallFinished:
     """Returns the record of a call's end."""
     context.note(total_ms=context.elapsed_ms())
@@ -54,6 +55,7 @@
         at_unix_s=int(time.time()),
         trace=context.trace,
         held=held,
+        binary=binary,
     )
 
 
@@ -106,5 +108,6 @@
         sealed,
         record.trace,
         replayed,
+        record.binary,
     )
     return CallEnd(OUTCOME.dump_json(outcome))
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -19,6 +19,7 @@
     PeerError,
     PlatformError,
     ProgramEnded,
+    ProgramExists,
     ProgramNotFound,
     Refusal,
     RouteNotFound,
@@ -256,6 +257,8 @@
             self._services.guard()
             partition = await self.partition(message.workspace, message.program_id)
             key = (message.workspace, message.program_id)
+            if message.action == "start":
+                await self._start(partition, message)
             program = partition.state.programs.get(key)
             if program is None:
                 raise ProgramNotFound
@@ -265,6 +268,34 @@
                 body = describe(partition, program, message.action == "explain")
         return ProgramAnswer(json.dumps(body).encode())
 
+    async def _start(self, partition: Partition, message: ProgramQuery) -> None:
+        """Starts a program; a repeat with the same budget changes nothing."""
+        document = self._fleet.state.document(message.service)
+        if document is None:
+            raise RouteNotFound(f"there is no service {message.service}")
+        budget = document.program.budget_micros
+        if message.budget_micros >= 0:
+            budget = min(budget, message.budget_micros)
+        state = partition.state
+        known = state.programs.get((message.workspace, message.program_id))
+        if known is not None:
+            account = state.account(message.workspace, message.program_id)
+            if known.ended or account.budget_micros != budget:
+                raise ProgramExists
+            return
+        await self._services.limiter.acquire(message.workspace)
+        record = ProgramStarted(
+            new_id("record"),
+            message.workspace,
+            message.program_id,
+            message.service,
+            budget,
+            int(time.time()),
+        )
+        waiting = partition.add(record)
+        wait_s = self._services.settings.timing.durable_wait_s
+        await asyncio.wait([waiting.done], timeout=wait_s)
+
     def _list(self, workspace: str) -> list[dict[str, Any]]:
         return [
             describe(partition, program, explain=False)
--- a/packages/node/src/damasksaddle_node/programs/plain.py
+++ b/packages/node/src/damasksaddle_node/programs/plain.py
@@ -1,5 +1,6 @@
 """Calls to plain services."""
 
+import base64
 from contextlib import suppress
 
 from damasksaddle.config import Repeat
@@ -142,12 +143,17 @@
         self, answer: PlainAnswer, placed: Placed, reserved_micros: int
     ) -> CallFinished:
         failed = answer.status >= HTTP_SERVER_ERROR
+        try:
+            body, binary = answer.body.decode(), False
+        except UnicodeDecodeError:
+            body, binary = base64.b64encode(answer.body).decode(), True
         return finished_record(
             self._context,
             Outcome.FAILED if failed else Outcome.OK,
             http_status=answer.status,
             content_type=answer.content_type,
-            body=answer.body.decode(errors="replace"),
+            body=body,
+            binary=binary,
             charge_micros=0 if failed else reserved_micros,
             upstream=placed.upstream,
         )
--- a/packages/node/src/damasksaddle_node/programs/records.py
+++ b/packages/node/src/damasksaddle_node/programs/records.py
@@ -1,5 +1,6 @@
 """Records of programs in the commit streams, and the outcome of a call."""
 
+import base64
 from enum import StrEnum
 from typing import Annotated, Literal
 
@@ -67,7 +68,7 @@
     A call ended. This record is also the charge: there is one per call id.
 
     `messages` are what the call adds to the history, as JSON texts; `held` tells
-    whether the engine keeps memory for the program.
+    whether the engine keeps memory for the program; a `binary` body is in base64.
     """
 
     record_id: str
@@ -91,6 +92,7 @@
     at_unix_s: int
     trace: Trace
     held: bool = False
+    binary: bool = False
     kind: Literal["call_finished"] = "call_finished"
 
 
@@ -156,6 +158,11 @@
     sealed: str
     trace: Trace
     replayed: bool = False
+    binary: bool = False
+
+    def body_bytes(self) -> bytes:
+        """Returns the body as the upstream sent it."""
+        return base64.b64decode(self.body) if self.binary else self.body.encode()
 
 
 OUTCOME: TypeAdapter[CallOutcome] = TypeAdapter(CallOutcome)
--- a/packages/node/src/damasksaddle_node/upstreams/__init__.py
+++ b/packages/node/src/damasksaddle_node/upstreams/__init__.py
@@ -2,6 +2,7 @@
 
 from damasksaddle_node.upstreams.http import HttpUpstreams
 from damasksaddle_node.upstreams.interfaces import (
+    SAMPLING,
     CacheEvent,
     EngineDone,
     EngineEvent,
@@ -16,6 +17,7 @@
 )
 
 __all__ = [
+    "SAMPLING",
     "CacheEvent",
     "EngineDone",
     "EngineEvent",
--- a/packages/node/src/damasksaddle_node/upstreams/http.py
+++ b/packages/node/src/damasksaddle_node/upstreams/http.py
@@ -24,6 +24,9 @@
 
 CONTROL_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
+# An answer is stored with its call and travels between nodes in one frame; six
+# times its size, which escapes in JSON can make of it, stays below 8 MiB.
+MAX_ANSWER_BYTES = 1024 * 1024
 # A silent engine is given up on; batches at full load stay well below this.
 READ_TIMEOUT_S = 30.0
 # An order to load weights ends when they are loaded.
@@ -51,7 +54,10 @@
         )
         try:
             async with self._session.post(
-                f"{url}/v1/chat/completions", json=_body(request), timeout=timeout
+                f"{url}/v1/chat/completions",
+                json=_body(request),
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status != HTTP_OK:
                     raise UpstreamError(
@@ -73,7 +79,11 @@
         raise UpstreamError("the stream ended early", sent=True)
 
     async def call(self, url: str, request: PlainRequest) -> PlainAnswer:
-        """Returns the answer of a plain service; raises `UpstreamError`."""
+        """
+        Returns the answer of a plain service; raises `UpstreamError`.
+
+        Redirects are not followed: they would send a call a second time.
+        """
         timeout = aiohttp.ClientTimeout(
             total=request.timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
@@ -84,10 +94,15 @@
         }
         try:
             async with self._session.post(
-                url + request.path, data=request.body, headers=headers, timeout=timeout
+                url + request.path,
+                data=request.body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
-                body = await response.read()
-                return PlainAnswer(response.status, response.content_type, body)
+                body = await _read(response)
+                kind = response.headers.get("Content-Type", "application/octet-stream")
+                return PlainAnswer(response.status, kind, body)
         except aiohttp.ClientConnectorError as error:
             raise UpstreamError(repr(error), sent=False) from error
         except _FAILURES as error:
@@ -148,8 +163,19 @@
             raise UpstreamError(repr(error), sent=True) from error
 
 
+async def _read(response: aiohttp.ClientResponse) -> bytes:
+    """Returns a body; raises `UpstreamError` if it is too large."""
+    body = bytearray()
+    async for piece in response.content.iter_any():
+        body += piece
+        if len(body) > MAX_ANSWER_BYTES:
+            raise UpstreamError("the answer is too large", sent=True)
+    return bytes(body)
+
+
 def _body(request: EngineRequest) -> dict[str, Any]:
     return {
+        **request.sampling,
         "model": request.model,
         "messages": request.messages,
         "max_tokens": request.max_tokens,
@@ -169,7 +195,7 @@
     for choice in chunk.get("choices", ()):
         text = choice.get("delta", {}).get("content")
         if text:
-            found.append(EngineToken(text))
+            found.append(EngineToken(_clean(text)))
         reason = choice.get("finish_reason") or reason
     usage = chunk.get("usage")
     if usage:
@@ -182,3 +208,8 @@
             )
         )
     return found
+
+
+def _clean(text: str) -> str:
+    """Replaces halves of surrogate pairs, which have no UTF-8 form."""
+    return text if text.isascii() else text.encode(errors="replace").decode()
--- a/packages/node/src/damasksaddle_node/upstreams/interfaces.py
+++ b/packages/node/src/damasksaddle_node/upstreams/interfaces.py
@@ -4,6 +4,21 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+# Parameters of a caller that change only how an engine picks tokens.
+SAMPLING = (
+    "frequency_penalty",
+    "logit_bias",
+    "min_p",
+    "presence_penalty",
+    "reasoning_effort",
+    "response_format",
+    "seed",
+    "stop",
+    "temperature",
+    "top_k",
+    "top_p",
+)
+
 
 @dataclass(frozen=True, slots=True)
 class EngineRequest:
@@ -22,6 +37,7 @@
     priority: int = 0
     resume_text: str = ""
     keep: bool = False
+    sampling: dict[str, Any] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -196,11 +196,17 @@
 
 @dataclass(slots=True)
 class ProgramQuery:
-    """Reads, lists, ends or explains programs; `action` says which."""
+    """
+    Starts, reads, lists, ends or explains programs; `action` says which.
+
+    A start names the service and the budget, -1 for the document's.
+    """
 
     workspace: str
     program_id: str
     action: str
+    service: str = ""
+    budget_micros: int = -1
 
 
 @dataclass(slots=True)
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -161,7 +161,9 @@
 struct ProgramQuery {
   workspace @0 :Text;
   programId @1 :Text;
-  action @2 :Text;          # read, list, end or explain
+  action @2 :Text;          # start, read, list, end or explain
+  service @3 :Text;         # of a program to start
+  budgetMicros @4 :Int64;   # of a program to start, -1 for the document's
 }
 
 struct ProgramAnswer {
--- /dev/null
+++ b/tests/node/http/desk.py
@@ -0,0 +1,80 @@
+"""A service with a model, filings and look-ups, and callers of it."""
+
+import json
+from contextlib import asynccontextmanager
+from typing import Any
+
+from damasksaddle_standins.http_fleet import RawAnswer, http_fleet, send_raw
+
+CHAT = "/v1/chat/completions"
+FILE = "/v1/services/desk/file"
+
+
+def document(engine: str, tool: str) -> dict[str, Any]:
+    """Returns the document of the service."""
+    rate = {"rate_per_s": 1000, "burst": 1000}
+    return {
+        "service": "desk",
+        "pools": {
+            "writer": {
+                "kind": "model",
+                "model": "lv",
+                "prompt_micros_per_ktoken": 1000,
+                "output_micros_per_ktoken": 2000,
+                "upstreams": [{"name": "run-1", "url": engine, "failure_domain": "a"}],
+            },
+            "filing": {
+                "kind": "plain",
+                "call_micros": 50,
+                "upstreams": [{"name": "tool-1", "url": tool, "failure_domain": "a"}],
+            },
+        },
+        "routes": {
+            "chat": {"pool": "writer"},
+            "file": {"pool": "filing", "path": "/file", "repeat": "never"},
+            "look": {"pool": "filing", "path": "/look"},
+        },
+        "workspaces": {
+            "ngo": rate,
+            "other": rate,
+            "slow": {"rate_per_s": 0.01, "burst": 1, "max_wait_ms": 0},
+        },
+    }
+
+
+@asynccontextmanager
+async def desk(size: int, engine=None, tool_url: str = "", **changes):
+    """Yields a fleet that runs the service, and a key of workspace `ngo`."""
+    async with http_fleet(size, engine, **changes) as fleet:
+        tool = tool_url or fleet.urls["tool"]
+        await fleet.apply("desk", document(fleet.urls["engine"], tool))
+        yield fleet, await fleet.give_key("ngo")
+
+
+def chat_body(text: str = "hello", **fields: Any) -> dict[str, Any]:
+    """Returns the body of a short chat completion."""
+    message = {"role": "user", "content": text}
+    return {"model": "desk/chat", "messages": [message], "max_tokens": 3, **fields}
+
+
+def request_of(
+    key: str, head: str = "", body: Any = b"", path: str = CHAT, method: str = "POST"
+) -> bytes:
+    """Returns a request as bytes; a Content-Length is added if `head` has none."""
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    if "ength:" not in head and "ncoding:" not in head:
+        head += f"Content-Length: {len(data)}\r\n"
+    first = f"{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n"
+    return (first + head + "\r\n").encode("latin-1") + data
+
+
+async def verdict(url: str, data: bytes) -> tuple[Any, ...]:
+    """Returns what matters of the answer to raw bytes."""
+    answer: RawAnswer = await send_raw(url, data)
+    if answer.status < 400:
+        return (answer.status,)
+    assert answer.headers["content-type"].startswith("application/problem+json")
+    body = json.loads(answer.body)
+    assert body["status"] == answer.status
+    found = (answer.status, body["code"], body["not_run"], body["detail"])
+    return (*found, answer.headers.get("retry-after"))
