--- a/packages/core/src/damasksaddle/utils/logs.py
+++ b/packages/core/src/damasksaddle/utils/logs.py
@@ -4,7 +4,6 @@
 Fields are appended as `name=value`, so that lines can be read and parsed.
 """
 
-import sys
 from typing import Any
 
 import logbook
@@ -45,7 +44,5 @@
 
 def set_up_logs(level: str) -> None:
     """Sends log lines of this level and above to standard error."""
-    handler = logbook.StreamHandler(
-        sys.stderr, level=level.upper(), format_string=FORMAT
-    )
+    handler = logbook.StderrHandler(level=level.upper(), format_string=FORMAT)
     handler.push_application()
--- a/packages/node/src/damasksaddle_node/commands/serve.py
+++ b/packages/node/src/damasksaddle_node/commands/serve.py
@@ -41,7 +41,9 @@
     """Runs a node until it is stopped or removed; returns the exit status."""
     platform_timeout_s = settings.timing.peer_timeout_s
     async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, ssl=tls.outgoing or True)
+        connector=aiohttp.TCPConnector(limit=0, ssl=tls.outgoing or True),
+        # A cookie that one workspace's call brings must not go out with another's.
+        cookie_jar=aiohttp.DummyCookieJar(),
     ) as session:
         node = Node(
             settings,
--- a/packages/node/src/damasksaddle_node/programs/outcome.py
+++ b/packages/node/src/damasksaddle_node/programs/outcome.py
@@ -31,6 +31,7 @@
     charge_micros: int = 0,
     engines: list[str] | None = None,
     reserved_micros: int = 0,
+    binary: bool = False,
 ) -> CallFinished:
     """Returns the record of a call's end."""
     context.note(total_ms=context.elapsed_ms())
@@ -58,6 +59,7 @@
         engines=engines or [],
         reserved_micros=reserved_micros,
         follows=context.program.last_turn,
+        binary=binary,
     )
 
 
@@ -118,5 +120,6 @@
         sealed,
         record.trace,
         replayed,
+        record.binary,
     )
     return CallEnd(OUTCOME.dump_json(outcome))
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -19,6 +19,7 @@
     PeerError,
     PlatformError,
     ProgramEnded,
+    ProgramExists,
     ProgramNotFound,
     Refusal,
     RouteNotFound,
@@ -279,6 +280,8 @@
                 reference = message.action.removeprefix(CALL_ACTION)
                 call = _call(partition, key, reference)
                 return ProgramAnswer(json.dumps(call).encode())
+            if message.action == "start":
+                await self._start(partition, message)
             program = partition.state.programs.get(key)
             if program is None:
                 raise ProgramNotFound
@@ -288,6 +291,34 @@
                 body = describe(partition, program, message.action == "explain")
         return ProgramAnswer(json.dumps(body).encode())
 
+    async def _start(self, partition: Partition, message: ProgramQuery) -> None:
+        """Starts a program; a repeat with the same budget changes nothing."""
+        document = self._fleet.state.document(message.service)
+        if document is None:
+            raise RouteNotFound(f"there is no service {message.service}")
+        budget = document.program.budget_micros
+        if message.budget_micros >= 0:
+            budget = min(budget, message.budget_micros)
+        state = partition.state
+        known = state.programs.get((message.workspace, message.program_id))
+        if known is not None:
+            account = state.account(message.workspace, message.program_id)
+            if known.ended or account.budget_micros != budget:
+                raise ProgramExists
+            return
+        await self._services.limiter.acquire(message.workspace)
+        record = ProgramStarted(
+            new_id("record"),
+            message.workspace,
+            message.program_id,
+            message.service,
+            budget,
+            unix_s(),
+        )
+        waiting = partition.add(record)
+        wait_s = self._services.settings.timing.durable_wait_s
+        await asyncio.wait([waiting.done], timeout=wait_s)
+
     def _list(self, workspace: str) -> list[dict[str, Any]]:
         return [
             describe(partition, program, explain=False)
--- a/packages/node/src/damasksaddle_node/programs/plain.py
+++ b/packages/node/src/damasksaddle_node/programs/plain.py
@@ -1,6 +1,7 @@
 """Calls to plain services."""
 
 import asyncio
+import base64
 from contextlib import suppress
 
 from damasksaddle.config import Repeat
@@ -152,12 +153,17 @@
         self, answer: PlainAnswer, placed: Placed, reserved_micros: int
     ) -> CallFinished:
         failed = answer.status >= HTTP_SERVER_ERROR
+        try:
+            body, binary = answer.body.decode(), False
+        except UnicodeDecodeError:
+            body, binary = base64.b64encode(answer.body).decode(), True
         return finished_record(
             self._context,
             Outcome.FAILED if failed else Outcome.OK,
             http_status=answer.status,
             content_type=answer.content_type,
-            body=answer.body.decode(errors="replace"),
+            body=body,
+            binary=binary,
             charge_micros=0 if failed else reserved_micros,
             upstream=placed.upstream,
         )
--- a/packages/node/src/damasksaddle_node/programs/records.py
+++ b/packages/node/src/damasksaddle_node/programs/records.py
@@ -1,5 +1,6 @@
 """Records of programs in the commit streams, and the outcome of a call."""
 
+import base64
 from enum import StrEnum
 from typing import Annotated, Literal
 
@@ -68,9 +69,9 @@
 
     `messages` are what the call adds to the history, as JSON texts; `sequence`
     numbers the calls that add something, and `follows` is the call id of the one
-    before. `engines` may hold memory for the
-    program. `reserved_micros` is what a call of unknown outcome may
-    still cost; a later record with the same call id may settle it.
+    before. `engines` may hold memory for the program. `reserved_micros` is what a
+    call of unknown outcome may still cost; a later record with the same call id may
+    settle it. A `binary` body is in base64.
     """
 
     record_id: str
@@ -96,6 +97,7 @@
     engines: list[str] = Field(default_factory=list)
     reserved_micros: int = 0
     follows: str = ""
+    binary: bool = False
     kind: Literal["call_finished"] = "call_finished"
 
 
@@ -161,6 +163,11 @@
     sealed: str
     trace: Trace
     replayed: bool = False
+    binary: bool = False
+
+    def body_bytes(self) -> bytes:
+        """Returns the body as the upstream sent it."""
+        return base64.b64decode(self.body) if self.binary else self.body.encode()
 
 
 OUTCOME: TypeAdapter[CallOutcome] = TypeAdapter(CallOutcome)
--- a/packages/standins/src/damasksaddle_standins/engine.py
+++ b/packages/standins/src/damasksaddle_standins/engine.py
@@ -223,7 +223,7 @@
                 len(call.words) - call.before,
                 call.before + len(call.output),
                 call.seen.cached_tokens,
-                "stop",
+                "length",
             )
         )
 
