--- a/packages/core/src/damasksaddle/config/checks.py
+++ b/packages/core/src/damasksaddle/config/checks.py
@@ -93,8 +93,9 @@
         if route.repeat is Repeat.NEVER:
             # A failed generation continues on another engine.
             yield (*path, "repeat"), "a model route is always repeatable"
-        if route.path != "/":
-            yield (*path, "path"), "a model route has no path"
+        for field in ("path", "outcome_path"):
+            if getattr(route, field) not in ("", "/"):
+                yield (*path, field), "has no meaning on a model route"
     if not route.path.startswith("/"):
         yield (*path, "path"), "a path begins with '/'"
     if route.open and route.workspaces is not None:
--- a/tests/core/config/test_loader.py
+++ b/tests/core/config/test_loader.py
@@ -38,6 +38,11 @@
     ("pool: writer", "pool: writer, open: true", "line 13: routes.chat.open: a model"),
     ("pool: writer", "pool: writer, repeat: never", "line 13: routes.chat.repeat:"),
     ("path: /file", "path: file", "line 14: routes.file.path: a path begins"),
+    (
+        "pool: writer",
+        'pool: writer, outcome_path: "/{call_id}"',
+        "line 13: routes.chat",
+    ),
     ("model: lv", "call_micros: 3", "line 3: pools.writer: a model pool names"),
     ("kind: plain", "kind: plain\n    model: x", "line 10: pools.apps.model: has no"),
     ("name: app-1", "name: run-1", "line 11: pools.apps.upstreams.0.name: another"),
