--- a/packages/node/src/damasksaddle_node/dump.py
+++ b/packages/node/src/damasksaddle_node/dump.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from damasksaddle_node.node import Node
 
 
+SECRETS = frozenset({"fleet_secret", "operator_token"})
+
+
 def dump_state(node: Node) -> dict[str, Any]:
     """Returns what a node knows and does."""
     state = node.fleet.state
@@ -16,6 +20,12 @@
     return {
         "vm": node.vm_id,
         "failure_domain": node.settings.failure_domain,
+        "addresses": {
+            "callers": node.http_url,
+            "operators": node.admin_url,
+            "peers": node.server.address,
+        },
+        "settings": _settings(node),
         "fleet": {
             "cursor": state.cursor,
             "epoch": state.epoch,
@@ -76,3 +86,8 @@
             for name, scheduler in node.schedulers.schedulers.items()
         },
     }
+
+
+def _settings(node: Node) -> dict[str, Any]:
+    found = asdict(node.settings)
+    return {name: value for name, value in found.items() if name not in SECRETS}
