Release ended programs on all engines after their owner died

Cause, each seen failing in tests/node/programs/test_engine_memory.py: a partition was opened only when a call came, so a program that ended just before its owner died held engine memory for good, and so did one whose owner left while its engine could not be reached; a call that an engine finished but whose record was lost left memory at an engine that nobody knew of; sub-agents did not end with their root; idle_timeout_s was not used. Change: the committer asks owners to open partitions whose holder is gone; a new holder after a death suspects all engines of the service; programs idle for too long end.

--- a/packages/node/src/damasksaddle_node/commit/client.py
+++ b/packages/node/src/damasksaddle_node/commit/client.py
@@ -11,7 +11,7 @@
 )
 from damasksaddle.platform import RowSequence, Table
 from damasksaddle.utils import get_log
-from damasksaddle_node.commit.rows import Entry, EntryKind, load_row
+from damasksaddle_node.commit.rows import Entry, load_row
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.peers import PeerPool
 from damasksaddle_node.settings import Timing
@@ -84,7 +84,7 @@
     async def entries(
         self, partition: int, after: int, until: int
     ) -> AsyncGenerator[Entry, None]:
-        """Yields a partition's record entries after a position, up to another."""
+        """Yields a partition's entries after a position, before another."""
         rows = RowSequence(self._table, f"stream/{partition % self._streams}")
         position = after
         while position < until:
@@ -93,8 +93,8 @@
                 return
             for row in found:
                 position = rows.position(row)
-                if position > until:
+                if position >= until:
                     return
                 for entry in load_row(row.value).entries:
-                    if entry.partition == partition and entry.kind is EntryKind.RECORDS:
+                    if entry.partition == partition:
                         yield entry
--- a/packages/node/src/damasksaddle_node/commit/committer.py
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -14,6 +14,7 @@
     EpochStale,
     NotOwner,
     PartitionHeld,
+    PeerError,
     PlatformError,
     Refusal,
     StoreUnavailable,
@@ -30,15 +31,19 @@
     load_row,
 )
 from damasksaddle_node.fleet.log import FleetLog
-from damasksaddle_node.peers import Handlers, Sender
+from damasksaddle_node.peers import Handlers, PeerPool, Sender
 from damasksaddle_node.settings import Timing
-from damasksaddle_protocol import Append, Appended
+from damasksaddle_protocol import Append, Appended, ProgramQuery
 
 log = get_log("commit")
 
 # Every n-th row carries the holders, so that a new committer reads at most n rows.
 HOLDERS_EVERY = 256
 MAX_ROW_BYTES = 1024 * 1024
+# Holder of a partition that was closed.
+NOBODY = ""
+ORPHAN_PERIOD_S = 1.0
+OPEN_TIMEOUT_S = 10.0
 
 
 @dataclass(eq=False, slots=True)
@@ -95,6 +100,21 @@
         self._queue.append(item)
         self._wake.set()
 
+    def wake(self) -> None:
+        """Makes the stream load itself if it was taken over."""
+        self._wake.set()
+
+    def orphans(self) -> list[int]:
+        """Returns the partitions whose holder is not a member any more."""
+        if self.position is None or not self.is_mine():
+            return []
+        members = self._fleet.state.members
+        return [
+            partition
+            for partition, holder in self.holders.items()
+            if holder.vm_id not in members
+        ]
+
     def is_mine(self) -> bool:
         return self._fleet.state.owners.stream(self.stream) == self._vm_id
 
@@ -161,7 +181,7 @@
                 case EntryKind.OPENED:
                     self.holders[entry.partition] = Holder(entry.vm_id, position)
                 case EntryKind.CLOSED:
-                    self.holders.pop(entry.partition, None)
+                    self.holders[entry.partition] = Holder(NOBODY, position)
 
     def _admit(self) -> list[_Item]:
         batch: list[_Item] = []
@@ -240,9 +260,16 @@
     """The streams of this VM: one task for each stream of the fleet."""
 
     def __init__(
-        self, vm_id: str, streams: int, table: Table, fleet: FleetLog, timing: Timing
+        self,
+        vm_id: str,
+        streams: int,
+        table: Table,
+        fleet: FleetLog,
+        peers: PeerPool,
+        timing: Timing,
     ) -> None:
         self._fleet = fleet
+        self._peers = peers
         self._timing = timing
         self.streams = [
             _Stream(vm_id, stream, table, fleet, timing) for stream in range(streams)
@@ -263,6 +290,31 @@
         stream.add(item)
         return Appended(stream.stream, await item.done)
 
+    async def open_orphans(self) -> None:
+        """
+        Asks the owners of partitions without a holder to open them.
+
+        No call may ever come for such a partition, but its programs may still hold
+        engine memory, and calls of unknown outcome wait for being settled.
+        """
+        while True:
+            await asyncio.sleep(ORPHAN_PERIOD_S)
+            for stream in self.streams:
+                if stream.is_mine():
+                    stream.wake()
+            orphans = [p for stream in self.streams for p in stream.orphans()]
+            await asyncio.gather(*(self._ask_to_open(p) for p in orphans))
+
+    async def _ask_to_open(self, partition: int) -> None:
+        owner = self._fleet.state.owners.partition(partition)
+        if owner is None:
+            return
+        message = ProgramQuery("", str(partition), "open")
+        try:
+            await self._peers.request(owner, message, OPEN_TIMEOUT_S)
+        except (PeerError, Refusal) as error:
+            log.debug("A partition was not opened.", partition=partition, reason=error)
+
     async def run(self) -> None:
         """Runs all streams until cancelled."""
         with suppress(asyncio.CancelledError):
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -93,7 +93,7 @@
         self.changes = ChangeAcceptance(self.fleet, self.peers, timing)
         self.limiter = Limiter(self.fleet, self.peers, timing, self.guard)
         self.committers = Committers(
-            self.vm_id, settings.streams, table, self.fleet, timing
+            self.vm_id, settings.streams, table, self.fleet, self.peers, timing
         )
         self.schedulers = PoolSchedulers(self.vm_id, self.fleet)
         self.owner = ProgramOwner(
@@ -145,8 +145,9 @@
             self.vouching.keep(),
             self.detector.watch(),
             self.committers.run(),
+            self.committers.open_orphans(),
             self.schedulers.tick(),
-            self.owner.release_ended(),
+            self.owner.tend(),
             self._watch_freshness(),
             self._watch_membership(),
         ):
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -25,20 +25,18 @@
     RouteNotFound,
     Stopping,
     StoreUnavailable,
-    UpstreamError,
 )
 from damasksaddle.utils import Counter, count, get_log, new_id, partition_of, unix_s
-from damasksaddle_node.commit import CommitClient
+from damasksaddle_node.commit import CommitClient, EntryKind
 from damasksaddle_node.fleet.records import FleetRecord, KeyWithdrawn
 from damasksaddle_node.peers import Handlers, PeerPool, Sender
 from damasksaddle_node.programs.context import CallContext, Services
+from damasksaddle_node.programs.engines import EngineMemory, finished
 from damasksaddle_node.programs.partition import Partition
 from damasksaddle_node.programs.records import (
     CallFinished,
     CallIntended,
-    EngineReleased,
     Outcome,
-    ProgramFinished,
     ProgramRecord,
     ProgramStarted,
     Trace,
@@ -62,7 +60,7 @@
 OPEN_RETRY_S = 0.1
 OPEN_TRIES = 20
 HANDOVER_TIMEOUT_S = 120.0
-RELEASE_PERIOD_S = 1.0
+TEND_PERIOD_S = 1.0
 # A query for one call; the call id or idempotency key follows.
 CALL_ACTION = "call:"
 
@@ -80,6 +78,7 @@
         self._peers = peers
         self._commits = commits
         self._settler = Settler(services)
+        self._engines = EngineMemory(services)
         self._opening: dict[int, asyncio.Lock] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         services.fleet.listen(self._on_record)
@@ -150,6 +149,10 @@
                     unix_s(),
                 )
             )
+            started_program = partition.state.programs[key]
+            if partition.orphaned and self._engines.is_recent(partition):
+                # Its first call may have run at the holder that died.
+                self._engines.suspect(partition, started_program)
         program = partition.state.programs[key]
         root = partition.state.programs.get((call.workspace, root_of(call.program_id)))
         if root is not None and root is not program and root.ended:
@@ -160,7 +163,9 @@
 
     async def partition(self, workspace: str, program_id: str) -> Partition:
         """Returns the partition of a program, opened; raises `NotOwner`."""
-        number = partition_of(workspace, program_id)
+        return await self._opened(partition_of(workspace, program_id))
+
+    async def _opened(self, number: int) -> Partition:
         if self._fleet.state.owners.partition(number) != self._peers.vm_id:
             raise NotOwner
         async with self._opening.setdefault(number, asyncio.Lock()):
@@ -184,14 +189,19 @@
         opened_at = await self._append_opened(number)
         state = PartitionState()
         try:
+            orphaned = False
             async for entry in self._commits.entries(number, 0, opened_at):
+                orphaned = entry.kind is not EntryKind.CLOSED
                 for text in entry.records:
                     state.apply(load_program_record(text))
         except PlatformError as error:
             raise StoreUnavailable(retry_after_s=1.0) from error
-        partition = Partition(number, opened_at, state, self._commits)
+        partition = Partition(number, opened_at, state, self._commits, orphaned)
         for intent in list(state.intents.values()):
             partition.add(_unknown(intent, state))
+        if orphaned:
+            for program in state.programs.values():
+                self._engines.suspect(partition, program)
         count(Counter.PARTITIONS_TAKEN)
         log.info("Partition opened.", partition=number, programs=len(state.programs))
         return partition
@@ -270,8 +280,11 @@
 
     async def on_query(self, message: ProgramQuery, sender: Sender) -> ProgramAnswer:
         """Answers a query; raises `ProgramNotFound` or `CallNotFound`."""
-        if message.action == "list":
-            body: Any = self._list(message.workspace)
+        if message.action == "open":
+            await self._opened(int(message.program_id))
+            body: Any = {}
+        elif message.action == "list":
+            body = self._list(message.workspace)
         else:
             self._services.guard()
             partition = await self.partition(message.workspace, message.program_id)
@@ -329,50 +342,25 @@
         ]
 
     async def _end(self, partition: Partition, program: Program) -> dict[str, Any]:
-        async with program.lock:
-            if not program.ended:
-                waiting = partition.add(
-                    ProgramFinished(
-                        new_id("record"),
-                        program.workspace,
-                        program.program_id,
-                        "ended by its caller",
-                    )
-                )
-                wait_s = self._services.settings.timing.durable_wait_s
-                await asyncio.wait([waiting.done], timeout=wait_s)
+        waiting = None
+        for member in partition.state.family(program):
+            async with member.lock:
+                if not member.ended:
+                    waiting = partition.add(finished(member, "ended by its caller"))
+        if waiting is not None:
+            wait_s = self._services.settings.timing.durable_wait_s
+            await asyncio.wait([waiting.done], timeout=wait_s)
         return describe(partition, program, explain=False)
 
-    # Engine memory.
-
-    async def release_ended(self) -> None:
-        """Frees what engines hold for ended programs, until it succeeds."""
+    async def tend(self) -> None:
+        """Ends idle programs and frees the engine memory of ended ones."""
         while True:
-            await asyncio.sleep(RELEASE_PERIOD_S)
-            for partition in list(self.partitions.values()):
-                for program in list(partition.state.programs.values()):
-                    if program.ended and program.engines and not partition.lost:
-                        await self._release(partition, program)
-
-    async def _release(self, partition: Partition, program: Program) -> None:
-        document = self._fleet.state.document(program.service)
-        pools = document.pools.values() if document else ()
-        urls = {
-            upstream.name: upstream.url for pool in pools for upstream in pool.upstreams
-        }
-        for name in list(program.engines):
-            session = f"{program.workspace}/{program.program_id}"
-            try:
-                if name in urls:
-                    await self._services.upstreams.release(urls[name], session)
-            except UpstreamError as error:
-                log.debug("A release failed.", upstream=name, reason=error)
-                continue
-            partition.add(
-                EngineReleased(
-                    new_id("record"), program.workspace, program.program_id, name
-                )
-            )
+            await asyncio.sleep(TEND_PERIOD_S)
+            held = [p for p in self.partitions.values() if not p.lost]
+            for partition in held:
+                if not partition.draining:
+                    self._engines.end_idle(partition)
+            await asyncio.gather(*(self._engines.release(p) for p in held))
 
 
 def _unknown(intent: CallIntended, state: PartitionState) -> CallFinished:
--- a/packages/node/src/damasksaddle_node/programs/partition.py
+++ b/packages/node/src/damasksaddle_node/programs/partition.py
@@ -37,16 +37,19 @@
     A partition that this VM holds.
 
     Records are applied to the state at once and become durable in order, in the
-    background; `opened_at` fences them.
+    background; `opened_at` fences them. `orphaned` tells that the holder before did
+    not close the partition, and `since_s` when this VM opened it.
     """
 
     number: int
     opened_at: int
     state: PartitionState
     commits: CommitClient
+    orphaned: bool = False
     lost: bool = False
     draining: bool = False
     running: int = 0
+    since_s: float = field(default_factory=lambda: asyncio.get_running_loop().time())
     waiting: list[Waiting] = field(default_factory=list)
     _key_locks: WeakValueDictionary[tuple[str, ...], asyncio.Lock] = field(
         default_factory=WeakValueDictionary
--- a/packages/node/src/damasksaddle_node/programs/records.py
+++ b/packages/node/src/damasksaddle_node/programs/records.py
@@ -123,8 +123,28 @@
     kind: Literal["engine_released"] = "engine_released"
 
 
+@dataclass(frozen=True, slots=True)
+class EnginesSuspected:
+    """
+    Engines may hold memory for a program without a record of a call.
+
+    The program's owner died, and with it what it knew of calls that were running.
+    """
+
+    record_id: str
+    workspace: str
+    program_id: str
+    engines: list[str]
+    kind: Literal["engines_suspected"] = "engines_suspected"
+
+
 ProgramRecord = Annotated[
-    ProgramStarted | CallIntended | CallFinished | ProgramFinished | EngineReleased,
+    ProgramStarted
+    | CallIntended
+    | CallFinished
+    | ProgramFinished
+    | EngineReleased
+    | EnginesSuspected,
     Field(discriminator="kind"),
 ]
 _ADAPTER: TypeAdapter[ProgramRecord] = TypeAdapter(ProgramRecord)
--- a/packages/node/src/damasksaddle_node/programs/state.py
+++ b/packages/node/src/damasksaddle_node/programs/state.py
@@ -10,6 +10,7 @@
     CallFinished,
     CallIntended,
     EngineReleased,
+    EnginesSuspected,
     Outcome,
     ProgramFinished,
     ProgramRecord,
@@ -117,6 +118,10 @@
                 program = self.programs.get((record.workspace, record.program_id))
                 if program is not None:
                     program.engines.discard(record.upstream)
+            case EnginesSuspected():
+                program = self.programs.get((record.workspace, record.program_id))
+                if program is not None:
+                    program.engines.update(record.engines)
         return True
 
     def _start(self, record: ProgramStarted) -> None:
@@ -187,6 +192,15 @@
         account.unknown_micros -= earlier.reserved_micros
         account.spent_micros += record.charge_micros
 
+    def family(self, root: Program) -> list[Program]:
+        """Returns a root program and its sub-agents, or a sub-agent alone."""
+        return [
+            program
+            for (workspace, program_id), program in self.programs.items()
+            if workspace == root.workspace
+            and root.program_id in (program_id, root_of(program_id))
+        ]
+
     def account(self, workspace: str, program_id: str) -> Account:
         """Returns the account that a program draws on."""
         return self.accounts[(workspace, root_of(program_id))]
