Keep rate and burst when a stale majority vouches for the former owner

Cause: a new bucket owner without a handover started 3 s after it applied the roster change. A majority that could not read the table kept the former owner fresh through vouches for as long as that lasted, so both admitted. VMs that joined on the side that could read the table changed what a majority is, so the two sides each had one. A bucket that had not started was handed over with level 0 and started at once at the next owner.

Change: a new owner waits until a majority confirmed the change. A roster grows by a new name or loses a member only under an epoch that a majority of it confirmed. A bucket that has not started is not handed over, and gained buckets are opened when the change is applied. NotFresh and LeaseLapsed at an owner are retried within max_wait_ms, as no token was taken. ChangeAcceptance.confirm returns at the first majority. A removal is tried again at once when the roster changed, and uses an agreement for at most one lease.

The fleet stand-in can pause a node's tasks while the clock goes on, and the network stand-in keeps the order of pieces written at one instant, which it could swap (seen as a refused first handshake).

Ruled out: starting at once after VmRemoved. An earlier planned change may still be unknown to the owner before the removed one.

--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -299,6 +299,10 @@
     """The object store has no such object."""
 
 
+class RosterUnsettled(DamasksaddleError):
+    """The roster cannot change yet, because its last change is not known to most."""
+
+
 class PeerError(DamasksaddleError):
     """A failure between two nodes."""
 
--- a/packages/node/src/damasksaddle_node/fleet/changes.py
+++ b/packages/node/src/damasksaddle_node/fleet/changes.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from damasksaddle.exceptions import PeerError, Refusal
+from damasksaddle.exceptions import PeerError, Refusal, RosterUnsettled
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.peers import Handlers, PeerPool, Sender
 from damasksaddle_node.settings import Timing
@@ -24,6 +24,7 @@
         self._fleet = fleet
         self._peers = peers
         self._timing = timing
+        self._asking: set[asyncio.Task[str | None]] = set()
 
     def register(self, handlers: Handlers) -> None:
         """Registers the handler of `ChangeHint`."""
@@ -41,33 +42,47 @@
         Otherwise returns the members that had not confirmed in time.
         """
         members = list(self._fleet.state.members)
-        tasks = {
-            vm_id: asyncio.create_task(self._ask(vm_id, position)) for vm_id in members
-        }
+        asking = [asyncio.create_task(self._ask(v, position)) for v in members]
+        missing = set(members)
+        # The others go on in the background: a hint makes them apply it at once.
+        self._asking.update(asking)
+        for task in asking:
+            task.add_done_callback(self._asking.discard)
+        for answered in asyncio.as_completed(asking):
+            missing.discard(await answered or "")
+            if len(members) - len(missing) > len(members) // 2:
+                return None
+        return sorted(missing)
+
+    async def confirmed_epoch(self) -> int:
+        """
+        Returns the epoch once a majority has applied it; raises `RosterUnsettled`.
+
+        The roster grows or loses a member only from there: two rosters that are one
+        step apart share a VM in any two majorities, and rosters further apart do not.
+        """
+        epoch = self._fleet.state.epoch
+        if self._fleet.state.members and await self.confirm(epoch) is not None:
+            raise RosterUnsettled(f"no majority has applied epoch {epoch}")
+        return epoch
+
+    async def _ask(self, vm_id: str, position: int) -> str | None:
+        """Returns the member once it has applied the position, None if too late."""
         try:
             async with asyncio.timeout(self._timing.accept_wait_s):
-                await asyncio.gather(*tasks.values())
+                await self._ask_until_applied(vm_id, position)
         except TimeoutError:
-            pass
-        finally:
-            for task in tasks.values():
-                task.cancel()
-        missing = [v for v, t in tasks.items() if not _confirmed(t)]
-        confirmed = len(members) - len(missing)
-        return None if confirmed >= self._fleet.state.majority() else missing
+            return None
+        return vm_id
 
-    async def _ask(self, vm_id: str, position: int) -> bool:
+    async def _ask_until_applied(self, vm_id: str, position: int) -> None:
         while True:
             try:
                 answer = await self._peers.request(
                     vm_id, ChangeHint(position), self._timing.accept_wait_s
                 )
                 if isinstance(answer, ChangeApplied) and answer.cursor >= position:
-                    return True
+                    return
             except (PeerError, Refusal):
                 pass
             await asyncio.sleep(RETRY_S)
-
-
-def _confirmed(task: "asyncio.Task[bool]") -> bool:
-    return task.done() and not task.cancelled() and task.exception() is None
--- a/packages/node/src/damasksaddle_node/fleet/detector.py
+++ b/packages/node/src/damasksaddle_node/fleet/detector.py
@@ -12,11 +12,13 @@
 from damasksaddle.exceptions import (
     PeerError,
     Refusal,
+    RosterUnsettled,
     RowTaken,
     TableUnavailable,
 )
 from damasksaddle.platform import Put, Table
 from damasksaddle.utils import Counter, count, get_log, rendezvous
+from damasksaddle_node.fleet.changes import ChangeAcceptance
 from damasksaddle_node.fleet.lease import lease_key
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.fleet.records import FleetRecord, VmRemoved
@@ -30,6 +32,7 @@
 WATCHERS = 2
 # Covers the drift between two VMs' clocks during one lease.
 CLOCK_MARGIN = 1.1
+ROSTER_RETRY_S = 0.1
 
 
 class _Gone(Refusal):
@@ -48,12 +51,19 @@
     """Watches the lease rows that fall to this VM."""
 
     def __init__(
-        self, vm_id: str, table: Table, fleet: FleetLog, peers: PeerPool, timing: Timing
+        self,
+        vm_id: str,
+        table: Table,
+        fleet: FleetLog,
+        peers: PeerPool,
+        changes: ChangeAcceptance,
+        timing: Timing,
     ) -> None:
         self._vm_id = vm_id
         self._table = table
         self._fleet = fleet
         self._peers = peers
+        self._changes = changes
         self._timing = timing
         self._seen: dict[str, _Seen] = {}
         self.unlisted: set[str] = set()
@@ -102,28 +112,58 @@
 
     async def _remove(self, vm_id: str, version: int) -> None:
         log.warning("A member's lease has run out.", vm=vm_id)
+        # The agreement ends after two leases; a write that may still be on its way
+        # must have arrived by then.
+        until_s = asyncio.get_running_loop().time() + self._timing.lease_s
+        try:
+            async with asyncio.timeout_at(until_s):
+                while not await self._try_to_remove(vm_id, version):
+                    await asyncio.sleep(ROSTER_RETRY_S)
+        except TimeoutError:
+            log.warning("A removal took too long.", vm=vm_id)
+        except (RowTaken, _Gone):
+            self._seen.pop(vm_id, None)
+
+    async def _try_to_remove(self, vm_id: str, version: int) -> bool:
+        """Returns False if the roster must settle first, which takes a moment."""
+        try:
+            epoch = await self._changes.confirmed_epoch()
+        except RosterUnsettled:
+            return False
         if not await self._agreed(vm_id):
             log.warning("No majority agrees to the removal.", vm=vm_id)
-            return
+            return True
 
         def check(state: FleetState) -> FleetRecord:
             if vm_id not in state.members:
                 raise _Gone
+            if state.epoch != epoch:
+                raise RosterUnsettled
             return VmRemoved(vm_id, by=self._vm_id)
 
         delete = Put(lease_key(vm_id), None, expected_version=version)
         try:
             await self._fleet.append(check, also=(delete,))
-            count(Counter.REMOVALS)
-            log.warning("A member was removed.", vm=vm_id)
-        except (RowTaken, _Gone):
-            self._seen.pop(vm_id, None)
+        except RosterUnsettled:
+            return False
+        count(Counter.REMOVALS)
+        log.warning("A member was removed.", vm=vm_id)
+        return True
 
     async def _agreed(self, vm_id: str) -> bool:
         members = [other for other in self._fleet.state.members if other != vm_id]
-        answers = await asyncio.gather(*(self._ask(other, vm_id) for other in members))
         # The suspected member cannot vouch for itself, but its seat counts.
-        return sum(answers) >= self._fleet.state.majority()
+        needed = self._fleet.state.majority()
+        tasks = [asyncio.create_task(self._ask(other, vm_id)) for other in members]
+        try:
+            for answer in asyncio.as_completed(tasks):
+                needed -= await answer
+                if needed == 0:
+                    return True
+            return False
+        finally:
+            for task in tasks:
+                task.cancel()
 
     async def _ask(self, other: str, vm_id: str) -> bool:
         if other in self.unlisted:
--- a/packages/node/src/damasksaddle_node/limits/bucket.py
+++ b/packages/node/src/damasksaddle_node/limits/bucket.py
@@ -38,6 +38,10 @@
         self.rate_per_s, self.burst = rate_per_s, burst
         self._level = min(self._level, burst)
 
+    def started(self) -> bool:
+        """Tells whether the bucket admits already."""
+        return asyncio.get_running_loop().time() >= self._at_s
+
     def level(self) -> float:
         """Returns the tokens that are in the bucket now."""
         self._refill()
@@ -68,8 +72,7 @@
         if wait_s > max_wait_s:
             raise RateExceeded(retry_after_s=wait_s)
         if wait_s == 0 and not self._waiters:
-            self._guard()
-            self._level -= 1
+            self._take()
             return
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
@@ -92,13 +95,17 @@
             if waiter.done():
                 continue
             try:
-                self._guard()
+                self._take()
             except Exception as error:
                 waiter.set_exception(error)
                 continue
-            self._level = max(0.0, self._level - 1)
             waiter.set_result(None)
 
+    def _take(self) -> None:
+        """Admits one request; raises a `Refusal` when this VM may not admit."""
+        self._guard()
+        self._level = max(0.0, self._level - 1)
+
     def close(self, error: Exception) -> None:
         """Fails all waiters, because this VM no longer owns the bucket."""
         if self._task is not None:
--- a/packages/node/src/damasksaddle_node/limits/limiter.py
+++ b/packages/node/src/damasksaddle_node/limits/limiter.py
@@ -1,14 +1,17 @@
 """Asks a workspace's owner for admission, and answers as the owner."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from damasksaddle.exceptions import (
     EpochStale,
+    LeaseLapsed,
+    NotFresh,
     NotOwner,
     OwnerUnreachable,
     PeerError,
     RateExceeded,
+    Refusal,
     RouteForbidden,
 )
 from damasksaddle.utils import get_log
@@ -34,7 +37,8 @@
     """
     Admission of requests by workspace.
 
-    `guard` raises a `Refusal` unless this VM's lease and freshness hold.
+    `guard` raises a `Refusal` unless this VM's lease and freshness hold. `confirm`
+    returns None once a majority of the roster has applied a position of the log.
     """
 
     def __init__(
@@ -43,15 +47,22 @@
         peers: PeerPool,
         timing: Timing,
         guard: Callable[[], None],
+        confirm: Callable[[int], Awaitable[list[str] | None]],
     ) -> None:
         self._fleet = fleet
         self._peers = peers
         self._timing = timing
         self._guard = guard
+        self._confirm = confirm
         self._buckets: dict[str, Bucket] = {}
         self._opening: dict[str, asyncio.Lock] = {}
-        self._owned_since_s: dict[str, float] = {}
+        self._owner: dict[str, str | None] = {}
         self._former_owner: dict[str, str] = {}
+        # When the roster change took effect here that last moved a workspace away
+        # from an owner, and at which position.
+        self._moved: dict[str, tuple[float, int]] = {}
+        self._confirmed = (0, float("-inf"))
+        self._tasks: set[asyncio.Task[None]] = set()
         self._retired_levels: dict[str, float] = {}
         self._declared: set[str] = set()
         self._never_granted: set[str] = set()
@@ -79,9 +90,9 @@
             try:
                 await self._ask(workspace, left_s)
                 return loop.time() - started_s
-            except (PeerError, NotOwner) as error:
-                # The owner has failed or changed; its successor is found in the
-                # roster as soon as the removal is applied.
+            except (PeerError, NotOwner, NotFresh, LeaseLapsed) as error:
+                # The owner has failed, changed or may not act now; its successor is
+                # found in the roster as soon as the removal is applied.
                 if loop.time() + RETRY_S >= until_s:
                     raise OwnerUnreachable(str(error), retry_after_s=1.0) from error
             await asyncio.sleep(RETRY_S)
@@ -133,17 +144,32 @@
         bucket starts at the former owner's level; otherwise it starts empty, once
         no former owner can admit any more.
         """
-        loop = asyncio.get_running_loop()
+        now_s = asyncio.get_running_loop().time()
         if workspace in self._never_granted:
             self._never_granted.discard(workspace)
-            return Bucket(rate_per_s, burst, burst, loop.time(), self._guard)
+            return Bucket(rate_per_s, burst, burst, now_s, self._guard)
         level = await self._level_of_former(workspace)
         if level is not None:
-            return Bucket(rate_per_s, burst, level, loop.time(), self._guard)
-        start_s = self._owned_since_s.get(workspace, loop.time())
-        start_s += self._timing.freshness_s
+            now_s = asyncio.get_running_loop().time()
+            return Bucket(rate_per_s, burst, level, now_s, self._guard)
+        start_s = await self._former_stopped_s(workspace)
         return Bucket(rate_per_s, burst, 0.0, start_s, self._guard)
 
+    async def _former_stopped_s(self, workspace: str) -> float:
+        """
+        Returns from when on no former owner can admit; raises `NotOwner`.
+
+        A former owner that did not see the change stays fresh through vouches until
+        a majority has applied it, and for `freshness_s` after its last proof.
+        """
+        moved_s, position = self._moved[workspace]
+        if self._confirmed[0] < position:
+            if await self._confirm(position) is not None:
+                raise NotOwner("no majority has seen the change of the owner yet")
+            now_s = asyncio.get_running_loop().time()
+            self._confirmed = max(self._confirmed, (position, now_s))
+        return max(moved_s, self._confirmed[1]) + self._timing.freshness_s
+
     async def _level_of_former(self, workspace: str) -> float | None:
         former = self._former_owner.get(workspace)
         if former is None or former not in self._fleet.state.members:
@@ -152,7 +178,7 @@
             answer = await self._peers.request(
                 former, BucketHandover(workspace), self._timing.peer_timeout_s
             )
-        except (PeerError, EpochStale, NotOwner):
+        except (PeerError, Refusal):
             return None
         if isinstance(answer, BucketLevel) and answer.level >= 0:
             return answer.level
@@ -170,7 +196,6 @@
         """Notes which workspaces this VM gained with a change of the roster."""
         if not record.kind.startswith("vm_") and record.kind != "document_applied":
             return
-        now_s = asyncio.get_running_loop().time()
         state = self._fleet.state
         names = {
             name
@@ -179,22 +204,46 @@
         }
         for name in names:
             owner = state.owners.workspace(name)
-            if owner == self._peers.vm_id:
-                if name not in self._declared:
+            if name not in self._declared:
+                self._declared.add(name)
+                if owner == self._peers.vm_id:
                     self._never_granted.add(name)
-                self._owned_since_s.setdefault(name, now_s)
-                self._retired_levels.pop(name, None)
-            else:
-                self._retire(name)
-                if owner is not None:
-                    self._former_owner[name] = owner
-        self._declared |= names
+            elif owner != self._owner[name]:
+                self._on_move(name, owner)
+            self._owner[name] = owner
+
+    def _on_move(self, workspace: str, owner: str | None) -> None:
+        now_s = asyncio.get_running_loop().time()
+        former = self._owner[workspace]
+        if former == self._peers.vm_id:
+            self._retire(workspace)
+        elif former is not None:
+            self._former_owner[workspace] = former
+        self._moved[workspace] = (now_s, self._fleet.state.cursor)
+        if owner == self._peers.vm_id:
+            self._retired_levels.pop(workspace, None)
+            # Opened now, so that the first request does not wait for the handover.
+            task = asyncio.create_task(self._open_early(workspace))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _open_early(self, workspace: str) -> None:
+        try:
+            self._check_owner(workspace)
+            await self._bucket(workspace)
+        except Refusal as error:
+            log.debug("A bucket is not open yet.", workspace=workspace, reason=error)
 
     def _retire(self, workspace: str) -> None:
         """Stops granting for a workspace that this VM does not own any more."""
-        self._owned_since_s.pop(workspace, None)
-        self._never_granted.discard(workspace)
         bucket = self._buckets.pop(workspace, None)
-        if bucket is not None:
-            self._retired_levels[workspace] = bucket.level()
+        if workspace in self._never_granted:
+            self._never_granted.discard(workspace)
+            limits = self._fleet.state.workspace(workspace)
+            self._retired_levels[workspace] = float(limits.burst if limits else 0)
+        elif bucket is not None:
+            # A bucket that has not started still waits for the owner before this
+            # one, and so must the next.
+            if bucket.started():
+                self._retired_levels[workspace] = bucket.level()
             bucket.close(NotOwner())
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -7,7 +7,13 @@
 from aiohttp import web
 from mode import Service
 
-from damasksaddle.exceptions import NotFresh, NotRun, PlatformError, Stopping
+from damasksaddle.exceptions import (
+    NotFresh,
+    NotRun,
+    PlatformError,
+    RosterUnsettled,
+    Stopping,
+)
 from damasksaddle.platform import CountedTable, Objects, Table, VmList
 from damasksaddle.utils import get_log, new_id
 from damasksaddle_node.commit import CommitClient, Committers
@@ -17,7 +23,13 @@
 from damasksaddle_node.fleet.detector import FailureDetector
 from damasksaddle_node.fleet.lease import Freshness, Lease
 from damasksaddle_node.fleet.log import FleetLog
-from damasksaddle_node.fleet.records import VmJoined, VmLeaving, VmLeft
+from damasksaddle_node.fleet.records import (
+    FleetRecord,
+    VmJoined,
+    VmLeaving,
+    VmLeft,
+)
+from damasksaddle_node.fleet.state import FleetState
 from damasksaddle_node.fleet.vouching import Vouching
 from damasksaddle_node.http.admin import AdminApi, admin_app
 from damasksaddle_node.http.app import CallerApi, caller_app
@@ -87,11 +99,13 @@
         self.vouching = Vouching(
             self.fleet, self.lease, self.freshness, self.peers, timing
         )
+        self.changes = ChangeAcceptance(self.fleet, self.peers, timing)
         self.detector = FailureDetector(
-            self.vm_id, table, self.fleet, self.peers, timing
+            self.vm_id, table, self.fleet, self.peers, self.changes, timing
+        )
+        self.limiter = Limiter(
+            self.fleet, self.peers, timing, self.guard, self.changes.confirm
         )
-        self.changes = ChangeAcceptance(self.fleet, self.peers, timing)
-        self.limiter = Limiter(self.fleet, self.peers, timing, self.guard)
         self.committers = Committers(
             self.vm_id, settings.streams, table, self.fleet, timing
         )
@@ -201,12 +215,21 @@
             self.http_url or f"http://{self.vm_id}",
         )
         while True:
-            started_s = loop.time()
             try:
-                await self.fleet.append(
-                    lambda state: joined, also=(self.lease.first_put(),)
-                )
+                await self.fleet.catch_up()
+                epoch = await self._epoch_to_join()
+
+                def check(state: FleetState, epoch: int = epoch) -> FleetRecord:
+                    if state.epoch != epoch:
+                        raise RosterUnsettled("another VM joined or left meanwhile")
+                    return joined
+
+                started_s = loop.time()
+                await self.fleet.append(check, also=(self.lease.first_put(),))
                 break
+            except RosterUnsettled as error:
+                log.debug("The fleet cannot be joined yet.", reason=error)
+                await asyncio.sleep(self._join_pause_s())
             except PlatformError as error:
                 log.warning("The fleet cannot be joined yet.", reason=error)
                 await asyncio.sleep(JOIN_RETRY_S)
@@ -217,6 +240,17 @@
             await asyncio.sleep(0)
         log.info("Joined the fleet.", vm=self.vm_id, epoch=self._epoch())
 
+    async def _epoch_to_join(self) -> int:
+        state = self.fleet.state
+        if any(member.name == self.settings.name for member in state.members.values()):
+            # Replaces an earlier start, which is dead, so no quorum becomes larger.
+            return state.epoch
+        return await self.changes.confirmed_epoch()
+
+    def _join_pause_s(self) -> float:
+        # Spreads VMs that start together, by a part of their id that is random.
+        return JOIN_RETRY_S * int(self.vm_id[-2:], 16) / 0xFF
+
     async def _watch_freshness(self) -> None:
         """Ends open streams once this VM can no longer prove that it is current."""
         timing = self.settings.timing
--- a/packages/node/src/damasksaddle_node/programs/settle.py
+++ b/packages/node/src/damasksaddle_node/programs/settle.py
@@ -32,22 +32,24 @@
 
     def __init__(self, services: Services) -> None:
         self._services = services
-        self._not_seen: set[str] = set()
 
     async def run(self, partition: Partition) -> None:
         """Asks regularly for as long as the partition is held."""
+        not_seen: set[str] = set()
         while not partition.lost:
             known = partition.state.unknown
-            self._not_seen &= known.keys()
+            not_seen &= known.keys()
             asked = [
-                self._ask(partition, record)
+                self._ask(partition, record, not_seen)
                 for call_id, record in list(known.items())
-                if call_id not in self._not_seen
+                if call_id not in not_seen
             ]
             await asyncio.gather(*asked)
             await asyncio.sleep(SETTLE_PERIOD_S)
 
-    async def _ask(self, partition: Partition, record: CallFinished) -> None:
+    async def _ask(
+        self, partition: Partition, record: CallFinished, not_seen: set[str]
+    ) -> None:
         program = partition.state.programs[(record.workspace, record.program_id)]
         document = self._services.fleet.state.document(program.service)
         route = document.routes.get(record.route) if document else None
@@ -69,7 +71,7 @@
             return
         believed_from_s = record.at_unix_s + longest_in_flight_s(route)
         if answer.status == HTTP_NOT_FOUND and asked_unix_s > believed_from_s:
-            self._not_seen.add(record.call_id)
+            not_seen.add(record.call_id)
 
     def _settle(
         self, partition: Partition, record: CallFinished, answer: PlainAnswer
--- a/packages/standins/src/damasksaddle_standins/fleet.py
+++ b/packages/standins/src/damasksaddle_standins/fleet.py
@@ -1,7 +1,7 @@
 """A small fleet in one process, on stand-ins, for tests and the bench."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from typing import Any
 
@@ -15,6 +15,7 @@
 from damasksaddle_node.settings import Settings, Timing
 from damasksaddle_protocol import CallChunk, CallEnd
 from damasksaddle_standins.network import MemoryNetwork
+from damasksaddle_standins.pause import Pauses
 from damasksaddle_standins.platform import (
     MemoryObjects,
     MemoryTable,
@@ -31,7 +32,7 @@
     Nodes in one process, connected in memory.
 
     Use it as `async with LocalFleet(3) as fleet`. `kill` ends a node without any
-    farewell, as SIGKILL would.
+    farewell, as SIGKILL would; `pause` stops its tasks until `resume`.
     """
 
     def __init__(
@@ -48,11 +49,13 @@
         self.upstreams = LocalUpstreams()
         self.nodes: dict[str, Node] = {}
         self._tables: dict[str, TableView] = {}
+        self.pauses = Pauses()
         self._size = size
         self._timing = timing or Timing()
         self._failure_domains = failure_domains
 
     async def __aenter__(self) -> "LocalFleet":
+        self.pauses.install()
         for number in range(self._size):
             await self.start(f"vm{number}")
         await self.settle()
@@ -61,6 +64,21 @@
     async def __aexit__(self, *_: object) -> None:
         for node in list(self.nodes.values()):
             await node.stop()
+        self.pauses.uninstall()
+
+    def spawn(
+        self, name: str, coroutine: Coroutine[Any, Any, Any]
+    ) -> "asyncio.Task[Any]":
+        """Runs a coroutine as a task of a node, which is paused with it."""
+        return asyncio.create_task(coroutine, context=self.pauses.context(name))
+
+    def pause(self, name: str) -> None:
+        """Stops a node's tasks while the clock goes on."""
+        self.pauses.pause(name)
+
+    def resume(self, name: str) -> None:
+        """Lets a paused node run on."""
+        self.pauses.resume(name)
 
     async def start(self, name: str, **changes: Any) -> Node:
         """Starts a node and returns it once it has joined."""
@@ -85,7 +103,7 @@
         self.nodes[name] = node
         self._tables[name] = table
         self.vm_list.set([ListedVm(vm, vm, False) for vm in self.nodes])
-        await node.start()
+        await self.spawn(name, _started(node))
         return node
 
     async def kill(self, name: str) -> None:
@@ -151,3 +169,7 @@
     async def sleep(self, seconds: float) -> None:
         """Lets time pass."""
         await asyncio.sleep(seconds)
+
+
+async def _started(node: Node) -> None:
+    await node.start()
--- a/packages/standins/src/damasksaddle_standins/network.py
+++ b/packages/standins/src/damasksaddle_standins/network.py
@@ -1,8 +1,11 @@
 """Byte streams in memory between nodes of one test, which can be cut."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 
+from damasksaddle_standins.pause import Pauses
+
 
 class MemoryWriter:
     """The writing end of a stream; what is written may be delayed or dropped."""
@@ -15,17 +18,27 @@
         self._far = far
         self._closed = False
         self._broken = False
+        # Timers of one instant do not run in the order of their creation, so each
+        # takes the oldest piece instead of its own. None stands for the end.
+        self._pieces: deque[bytes | None] = deque()
 
     def write(self, data: bytes) -> None:
         if self._closed:
             raise ConnectionResetError("the stream is closed")
         if self._broken or self.link in self._network.cut:
             return
+        self._send(data)
+
+    def _send(self, piece: bytes | None) -> None:
+        self._pieces.append(piece)
         loop = asyncio.get_running_loop()
-        loop.call_later(self._network.delay_s, self._deliver, data)
+        loop.call_later(self._network.delay_s, self._deliver)
 
-    def _deliver(self, data: bytes) -> None:
-        if self.link not in self._network.cut and not self._far.at_eof():
+    def _deliver(self) -> None:
+        data = self._pieces.popleft()
+        if data is None:
+            self._far.feed_eof()
+        elif self.link not in self._network.cut and not self._far.at_eof():
             try:
                 self._far.feed_data(data)
             except AssertionError:
@@ -43,13 +56,16 @@
     def close(self) -> None:
         if not self._closed:
             self._closed = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(self._network.delay_s, self._far.feed_eof)
+            self._send(None)
 
 
 Accept = Callable[[asyncio.StreamReader, MemoryWriter], Awaitable[None]]
 
 
+async def _served(accepted: Awaitable[None]) -> None:
+    await accepted
+
+
 class MemoryNetwork:
     """
     Connects nodes by address; `as_node` gives the network as one node sees it.
@@ -96,7 +112,9 @@
         near, far = asyncio.StreamReader(), asyncio.StreamReader()
         back, forth = MemoryWriter(self, link, near), MemoryWriter(self, link, far)
         self._writers += [back, forth]
-        task = asyncio.ensure_future(self._accept[target](far, back))
+        task = asyncio.create_task(
+            _served(self._accept[target](far, back)), context=Pauses.context(target)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return near, forth
