Add the bench of the scheduling policies

Cause: no policy could be compared with another.

Change: the command and make target bench play seeded workloads of both deployments through real nodes on the paused clock, for each policy, over three seeds, without a fault and with a VM killed, an engine slow by 10x, the table down and cache events lost.

Ruled out: no-op cycles of the paused loop (nothing waits for real input, and they took most of the time).

Cache events have no effect yet, because the scheduler does not read them.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := protocol core node cli standins
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint format docs clean
+.PHONY: setup demo bench test lint format docs clean
 
 setup: $(STAMP)
 
@@ -16,6 +16,9 @@
 demo: setup
 	$(BIN)/python -m damasksaddle_standins demo
 
+bench: setup
+	$(BIN)/python -m damasksaddle_standins bench --directory build/bench
+
 test: setup
 	$(BIN)/python -m pytest -n 6
 
--- a/packages/standins/src/damasksaddle_standins/__main__.py
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from pathlib import Path
 from typing import Any
 
 import click
@@ -71,5 +72,17 @@
     click.echo(table(measure()))
 
 
+@main.command()
+@click.option("--directory", default="build/bench", type=click.Path(path_type=Path))
+@click.option("--seed", "seeds", multiple=True, type=int, default=(1, 2, 3))
+@click.option("--workers", default=2, show_default=True, help="Processes.")
+def bench(directory: Path, seeds: tuple[int, ...], workers: int) -> None:
+    """Measures the policies and writes a table and a figure to a directory."""
+    # Imported here, because the other commands need no plotting library.
+    from damasksaddle_standins.bench.report import run_bench
+
+    click.echo(run_bench(directory, list(seeds), workers))
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the scheduling policies on stand-ins."""
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/bench/scenario.py
@@ -0,0 +1,328 @@
+"""One run of the bench: a workload through a fleet, with a fault, on a paused clock."""
+
+import asyncio
+import json
+import statistics
+from collections import defaultdict
+from contextlib import suppress
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+import logbook
+import looptime
+
+from damasksaddle.config import Policy
+from damasksaddle.exceptions import RateExceeded, Refusal
+from damasksaddle.utils import rendezvous, seed_ids
+from damasksaddle_node.entry import CallerRequest
+from damasksaddle_standins.bench.workloads import (
+    BURST,
+    RATE_PER_S,
+    Deployment,
+    Plan,
+    Turn,
+    Workload,
+    make_workload,
+)
+from damasksaddle_standins.cache import CacheLedger
+from damasksaddle_standins.engine import EngineSettings, ModelEngine
+from damasksaddle_standins.fleet import LocalFleet
+from damasksaddle_standins.tool import ToolService
+
+FAULT_AT_S = 12.0
+TABLE_DOWN_S = 15.0
+SLOWNESS = 10.0
+EVENT_LOSS = 0.7
+LINK_DELAY_S = 0.005
+RETRY_S = 0.5
+# A program that is not over by then is given up and counts with this latency.
+GIVE_UP_S = 300.0
+ENGINE_SLOTS = 8
+ENGINE_CACHE_TOKENS = 24_000
+
+
+class Fault(StrEnum):
+    """What goes wrong in a run."""
+
+    NONE = "none"
+    VM_KILLED = "VM killed"
+    SLOW_ENGINE = "engine slow by 10x"
+    TABLE_DOWN = "table down"
+    EVENTS_LOST = "cache events lost"
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """What one run plays; `only` restricts it to one workspace."""
+
+    deployment: Deployment
+    policy: Policy
+    fault: Fault
+    seed: int
+    only: str = ""
+
+
+@dataclass(slots=True)
+class Record:
+    """What callers and engines recorded in one run."""
+
+    latencies_s: dict[str, float] = field(default_factory=dict)
+    workspace_of: dict[str, str] = field(default_factory=dict)
+    refusals: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    wrongful: int = 0
+    requests: int = 0
+    unfinished: int = 0
+    ledger: CacheLedger = field(default_factory=CacheLedger)
+
+    def mean_by_workspace(self) -> dict[str, float]:
+        """Returns the mean latency of each workspace's programs."""
+        found: dict[str, list[float]] = defaultdict(list)
+        for program, latency_s in self.latencies_s.items():
+            found[self.workspace_of[program]].append(latency_s)
+        return {name: statistics.fmean(values) for name, values in found.items()}
+
+
+@dataclass(slots=True)
+class _Rate:
+    """A workspace's rate as its caller counts it, to judge refusals."""
+
+    level: float = BURST
+    at_s: float = 0.0
+
+    def conforms(self, now_s: float) -> bool:
+        self.level = min(BURST, self.level + (now_s - self.at_s) * RATE_PER_S)
+        self.at_s = now_s
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+
+def _document(workload: Workload, policy: Policy) -> str:
+    domains = workload.failure_domains
+
+    def upstreams(kind: str, count: int, slots: int) -> list[dict[str, Any]]:
+        return [
+            {
+                "name": f"{kind}-{number}",
+                "url": f"http://{kind}-{number}",
+                "failure_domain": domains[number % len(domains)],
+                "slots": slots,
+            }
+            for number in range(1, count + 1)
+        ]
+
+    routes = {turn.route for plan in workload.plans for turn in plan.turns}
+    actions = routes & {"alert", "file", "schedule", "confirm"}
+    return json.dumps(
+        {
+            "service": workload.deployment,
+            "pools": {
+                "writer": {
+                    "kind": "model",
+                    "model": "agent-model",
+                    "policy": policy,
+                    "bytes_per_token": 4.0,
+                    "upstreams": upstreams("run", workload.model_engines, ENGINE_SLOTS),
+                },
+                "apps": {
+                    "kind": "plain",
+                    "policy": policy,
+                    "upstreams": upstreams("app", workload.tools, 16),
+                },
+            },
+            "routes": {
+                route: {"pool": "apps", "path": "/act", "repeat": "never"}
+                if route in actions
+                else {"pool": "writer"}
+                for route in sorted(routes)
+            },
+            "workspaces": {
+                name: {
+                    "rate_per_s": RATE_PER_S,
+                    "burst": BURST,
+                    "max_wait_ms": 10_000,
+                }
+                for name in workload.workspaces
+            },
+        }
+    )
+
+
+class _Run:
+    def __init__(self, case: Case, fleet: LocalFleet, workload: Workload) -> None:
+        self.case = case
+        self.fleet = fleet
+        self.workload = workload
+        self.record = Record()
+        self.keys: dict[str, str] = {}
+        self._rates: dict[str, _Rate] = defaultdict(_Rate)
+        self._calls: dict[str, set[asyncio.Task[Any]]] = defaultdict(set)
+
+    async def start(self) -> None:
+        settings = {
+            "slots": ENGINE_SLOTS,
+            "token_s": 0.015,
+            "prefill_s_per_token": 0.0004,
+            "cache_tokens": ENGINE_CACHE_TOKENS,
+            "load_lag_s": 1.0,
+            "event_lag_s": 0.5,
+            "event_loss": EVENT_LOSS if self.case.fault is Fault.EVENTS_LOST else 0.02,
+        }
+        upstreams = self.fleet.upstreams
+        for number in range(1, self.workload.model_engines + 1):
+            name = f"run-{number}"
+            upstreams.engines[f"http://{name}"] = ModelEngine(
+                EngineSettings(name, **settings),  # type: ignore[arg-type]
+                self.record.ledger,
+            )
+        for number in range(1, self.workload.tools + 1):
+            upstreams.tools[f"http://app-{number}"] = ToolService(f"app-{number}")
+        document = _document(self.workload, self.case.policy)
+        await self.fleet.apply(self.workload.deployment, document)
+        for workspace in self.workload.workspaces:
+            self.keys[workspace] = await self.fleet.give_key(workspace)
+
+    async def play(self) -> Record:
+        plans = [
+            plan
+            for plan in self.workload.plans
+            if self.case.only in ("", plan.workspace)
+        ]
+        fault = asyncio.create_task(self._fault())
+        await asyncio.gather(*(self._root(plan) for plan in plans))
+        fault.cancel()
+        for engine in self.fleet.upstreams.engines.values():
+            engine.cache.settle_ledger()
+        return self.record
+
+    async def _fault(self) -> None:
+        await asyncio.sleep(FAULT_AT_S)
+        match self.case.fault:
+            case Fault.VM_KILLED:
+                pool = f"{self.workload.deployment}/writer"
+                victim = self.fleet.owner_of(lambda state: state.owners.pool(pool))
+                await self.fleet.kill(victim)
+                for call in self._calls.pop(victim, set()):
+                    call.cancel()
+            case Fault.SLOW_ENGINE:
+                engine = self.fleet.upstreams.engines["http://run-1"]
+                engine.settings.slowness = SLOWNESS
+            case Fault.TABLE_DOWN:
+                self.fleet.table.faults.down = True
+                await asyncio.sleep(TABLE_DOWN_S)
+                self.fleet.table.faults.down = False
+
+    async def _root(self, plan: Plan) -> None:
+        await asyncio.sleep(plan.start_s)
+        program = f"{plan.workspace}/{plan.program_id}"
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        self.record.workspace_of[program] = plan.workspace
+        try:
+            async with asyncio.timeout(GIVE_UP_S):
+                await self._program(plan)
+        except TimeoutError:
+            self.record.unfinished += 1
+        self.record.latencies_s[program] = loop.time() - started_s
+        node = self.fleet.nodes[self._entry(plan.program_id)]
+        with suppress(Refusal, TimeoutError):
+            async with asyncio.timeout(30):
+                await node.entry.query(plan.workspace, plan.program_id, "end")
+
+    async def _program(self, plan: Plan) -> None:
+        for number, turn in enumerate(plan.turns):
+            await asyncio.sleep(turn.pause_s)
+            await self._turn(plan, turn, f"{plan.program_id}:{number}")
+            if turn.children:
+                children = (self._program(child) for child in turn.children)
+                await asyncio.gather(*children)
+
+    def _entry(self, program_id: str) -> str:
+        return rendezvous(program_id, list(self.fleet.nodes))[0]
+
+    async def _turn(self, plan: Plan, turn: Turn, key: str) -> None:
+        body = {
+            "messages": [{"role": "user", "content": turn.text}],
+            "max_tokens": turn.max_tokens,
+        }
+        request = CallerRequest(
+            self.keys[plan.workspace],
+            self.workload.deployment,
+            turn.route,
+            json.dumps(body).encode(),
+            program_id=plan.program_id,
+            idempotency_key=key,
+        )
+        while True:
+            conforms = self._rates[plan.workspace].conforms(
+                asyncio.get_running_loop().time()
+            )
+            self.record.requests += 1
+            try:
+                if await self._call(plan.program_id, request):
+                    return
+            except RateExceeded as error:
+                self._refused(error, conforms)
+                await asyncio.sleep(error.retry_after_s or RETRY_S)
+            except Refusal as error:
+                self._refused(error, conforms)
+                if error.code == "fate_unknown":
+                    # An agent looks the outcome up; the call is not repeated.
+                    return
+                await asyncio.sleep(error.retry_after_s or RETRY_S)
+
+    async def _call(self, program_id: str, request: CallerRequest) -> bool:
+        """Returns False if the entry VM died before the answer came."""
+        name = self._entry(program_id)
+        task = asyncio.create_task(self.fleet.call(name, request))
+        self._calls[name].add(task)
+        try:
+            await asyncio.wait([task])
+            if task.cancelled():
+                return False
+            task.result()
+            return True
+        finally:
+            task.cancel()
+            self._calls[name].discard(task)
+
+    def _refused(self, error: Refusal, conforms: bool) -> None:
+        self.record.refusals[error.code] += 1
+        self.record.wrongful += conforms
+
+
+async def _play(case: Case) -> Record:
+    workload = make_workload(case.deployment, case.seed)
+    domains = workload.failure_domains
+    async with LocalFleet(
+        len(domains), failure_domains=domains, delay_s=LINK_DELAY_S
+    ) as fleet:
+        run = _Run(case, fleet, workload)
+        await run.start()
+        return await run.play()
+
+
+async def _nothing() -> None:
+    return
+
+
+def run_case(case: Case) -> Record:
+    """Plays a case on a clock of its own; the same case gives the same record."""
+    seed_ids(case.seed)
+    # Nothing waits for real input, so time may move as soon as nothing is ready.
+    loop = looptime.new_event_loop(start=0, noop_cycles=0)
+    try:
+        with logbook.NullHandler().applicationbound():
+            record = loop.run_until_complete(_play(case))
+        record.refusals = dict(record.refusals)
+        record.ledger.known = set()
+        return record
+    finally:
+        left = asyncio.all_tasks(loop)
+        for task in left:
+            task.cancel()
+        loop.run_until_complete(asyncio.wait([*left, loop.create_task(_nothing())]))
+        loop.close()
+        seed_ids(None)
--- /dev/null
+++ b/tests/standins/test_bench.py
@@ -0,0 +1,20 @@
+"""The bench: its figures must be repeatable and come from the stand-ins' records."""
+
+import pytest
+
+from damasksaddle.config import Policy
+from damasksaddle_standins.bench.report import measure
+from damasksaddle_standins.bench.scenario import Case, Fault, run_case
+from damasksaddle_standins.bench.workloads import Deployment
+
+
+@pytest.mark.parametrize("fault", [Fault.NONE, Fault.VM_KILLED])
+def test_case_is_repeatable(fault):
+    """Guards against figures that differ between runs of one seed."""
+    case = Case(Deployment.IMBUTO, Policy.PROGRAM_FAIR, fault, 1, only="ws-4")
+    first, second = run_case(case), run_case(case)
+    assert first == second
+    assert first.unfinished == 0
+    measures = measure(first, first.mean_by_workspace())
+    assert measures.worst_slowdown == 1
+    assert 0 < measures.p50_s <= measures.p95_s <= measures.p99_s
