Keep pools right across owners, leaving upstreams and slow engines

Cause: a new owner of a pool started with empty counts, nobody read the VM list, load reports and cache events, GREY_FACTOR was not used, the queue was searched linearly, virtual time had no floor, and estimates were never settled. A lost Finish kept its slot for good.

Change: every VM registers its placed calls with a pool's new owner, which places nothing until all members have registered or two polls have passed; load reports show what nobody registered. Every node reads the VM list every 2 s, so that a new owner knows it even if the list is down. Cache events, with a full report after a gap, correct what is believed to be cached. Prompt estimates are calibrated by the engines' counts. An engine whose time per token is over 6 times the pool's median, or whose call is overdue by that factor, gets no work and is tried by one call after 15 s, then 30 s, and so on; never more than half of a pool. The queue has two levels of heaps; attained service counts by doublings, so that ageing bounds every wait; deadlines raise urgency; a Finish is repeated until an owner takes it.

The time until a bucket that was taken over admits does not count as waiting (limits/bucket.py): test_owner_dies_between_turns failed with RateExceeded once the removal came 2 s earlier, because 3 s of freshness exceed the 2 s that a request may wait.

Seen failing on the former pools code: test_leaving_upstream (3 late calls at the leaving engine), test_new_owner_does_not_overload (4 calls on 2 slots), test_unreachable_upstream_rests.

--- a/packages/node/src/damasksaddle_node/limits/bucket.py
+++ b/packages/node/src/damasksaddle_node/limits/bucket.py
@@ -62,10 +62,12 @@
         Takes a token, in the order of arrival.
 
         Raises `RateExceeded` at once if the wait would be longer than
-        `max_wait_s`.
+        `max_wait_s`. The time until a bucket that was taken over admits again does
+        not count: requests within the rate would be refused for it.
         """
         wait_s = self.wait_s()
-        if wait_s > max_wait_s:
+        opening_s = max(0.0, self._at_s - asyncio.get_running_loop().time())
+        if wait_s - opening_s > max_wait_s:
             raise RateExceeded(retry_after_s=wait_s)
         if wait_s == 0 and not self._waiters:
             self._guard()
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -95,7 +95,9 @@
         self.committers = Committers(
             self.vm_id, settings.streams, table, self.fleet, timing
         )
-        self.schedulers = PoolSchedulers(self.vm_id, self.fleet)
+        self.schedulers = PoolSchedulers(
+            self.vm_id, self.fleet, upstreams, vm_list, timing, self.guard
+        )
         self.owner = ProgramOwner(
             Services(
                 settings,
@@ -146,6 +148,8 @@
             self.detector.watch(),
             self.committers.run(),
             self.schedulers.tick(),
+            self.schedulers.watch_list(),
+            self.schedulers.watch_load(),
             self.owner.release_ended(),
             self._watch_freshness(),
             self._watch_membership(),
--- /dev/null
+++ b/packages/node/src/damasksaddle_node/pools/listing.py
@@ -0,0 +1,40 @@
+"""Which upstreams the platform's VM list shows as leaving."""
+
+from urllib.parse import urlsplit
+
+from damasksaddle.config import Upstream
+from damasksaddle.platform import ListedVm, VmList
+
+
+class LeavingList:
+    """
+    What the platform's VM list showed last.
+
+    An entry names an upstream by its name or by its address, with or without port.
+    An upstream that was listed and no longer is has left.
+    """
+
+    def __init__(self, vm_list: VmList) -> None:
+        self._vm_list = vm_list
+        self._leaving: set[str] = set()
+        self._listed: set[str] = set()
+
+    async def read(self) -> None:
+        """Reads the list; raises `PlatformError`."""
+        vms = await self._vm_list.read()
+        present = {label for vm in vms for label in _labels(vm)}
+        staying = {label for vm in vms if not vm.leaving for label in _labels(vm)}
+        # An empty list is a fault of the platform rather than the end of all VMs.
+        if vms:
+            self._listed |= present
+            self._leaving = self._listed - staying
+
+    def shows(self, upstream: Upstream) -> bool:
+        """Tells whether an upstream is leaving or has left."""
+        address = urlsplit(upstream.url)
+        labels = {upstream.name, address.netloc, address.hostname or ""}
+        return bool(labels & self._leaving)
+
+
+def _labels(vm: ListedVm) -> set[str]:
+    return {vm.name, vm.address}
--- a/packages/node/src/damasksaddle_node/pools/scheduler.py
+++ b/packages/node/src/damasksaddle_node/pools/scheduler.py
@@ -1,27 +1,24 @@
 """The scheduler of a pool, at the VM that owns the pool."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from damasksaddle.config import Pool
-from damasksaddle.exceptions import NotOwner, UpstreamUnavailable
-from damasksaddle.utils import get_log
-from damasksaddle_node.fleet.log import FleetLog
-from damasksaddle_node.fleet.records import FleetRecord
-from damasksaddle_node.peers import Handlers, Sender
-from damasksaddle_node.pools.engines import PoolView, Running, UpstreamView
+from damasksaddle.config import Policy, Pool
+from damasksaddle.exceptions import UpstreamUnavailable
+from damasksaddle_node.pools.client import PlacedCall
+from damasksaddle_node.pools.engines import MS, Held, PoolView, Running, UpstreamView
 from damasksaddle_node.pools.policy import (
-    FairShare,
-    Queued,
     choose,
-    next_call,
+    estimate_ms,
+    prefill_ms,
     session_of,
 )
-from damasksaddle_protocol import Finish, Ok, Place, Placed
+from damasksaddle_node.pools.queue import CallQueue, Queued
+from damasksaddle_protocol import Finish, Place, Placed
 
-log = get_log("pools")
-
-MS = 1000
+# How many calls a dispatch looks at that would rather wait for their cache.
+LOOK_AHEAD = 16
 
 
 @dataclass(eq=False, slots=True)
@@ -33,58 +30,111 @@
 
 
 class PoolScheduler:
-    """Queues the calls of one pool and places them on its upstreams."""
+    """
+    Queues the calls of one pool and places them on its upstreams.
+
+    `held` stops placement while a new owner does not yet know what runs.
+    """
 
-    def __init__(self, name: str, pool: Pool) -> None:
+    def __init__(
+        self, name: str, pool: Pool, domain_of: Callable[[str], str] = lambda vm_id: ""
+    ) -> None:
         self.name = name
         self.view = PoolView(pool)
-        self.shares = FairShare()
-        self._queue: list[_Waiter] = []
+        self.queue = CallQueue()
+        self.held = False
+        self._domain_of = domain_of
+        self._waiters: dict[int, _Waiter] = {}
         self._number = 0
 
     async def place(self, place: Place, weight: float) -> Placed:
         """Returns the upstream for a call, once one has a free slot."""
-        if len(self._queue) >= self.view.pool.max_queue:
+        if len(self.queue) >= self.view.pool.max_queue:
             raise UpstreamUnavailable("the pool's queue is full", retry_after_s=1.0)
         now_s = asyncio.get_running_loop().time()
         self._number += 1
         waiter = _Waiter(Queued(place, now_s, weight, self._number))
-        self._queue.append(waiter)
+        self._waiters[self._number] = waiter
+        self.queue.push(self.view.pool.policy, waiter.queued)
         self.dispatch()
         try:
             return await waiter.done
         except asyncio.CancelledError:
-            if waiter in self._queue:
-                self._queue.remove(waiter)
+            if self._waiters.pop(waiter.queued.number, None) is not None:
+                self.queue.remove(waiter.queued)
             elif waiter.done.done() and not waiter.done.cancelled():
                 self._forget(place.call_id, waiter.done.result().upstream)
             raise
 
     def dispatch(self) -> None:
         """Places queued calls for as long as one can be placed."""
+        if self.held:
+            return
         now_s = asyncio.get_running_loop().time()
-        blocked: list[_Waiter] = []
-        while self._queue and self.view.usable(now_s, []):
-            calls = [waiter.queued for waiter in self._queue]
-            queued = next_call(self.view.pool.policy, calls, self.shares, now_s)
-            waiter = next(w for w in self._queue if w.queued is queued)
-            self._queue.remove(waiter)
+        passed: list[Queued] = []
+        while len(passed) < LOOK_AHEAD and self.view.usable(now_s, []):
+            queued = self.queue.pop()
+            if queued is None:
+                break
             views = self.view.usable(now_s, queued.place.excluded)
-            if not views:
-                # All upstreams that are free have failed this call already.
-                blocked.append(waiter)
-                continue
-            self._assign(waiter, views, now_s)
-        self._queue.extend(blocked)
-
-    def _assign(self, waiter: _Waiter, views: list[UpstreamView], now_s: float) -> None:
-        place = waiter.queued.place
-        choice = choose(self.view.pool.policy, place, views, waiter.queued.number)
-        choice.view.running[place.call_id] = Running(place, now_s)
-        tokens = place.prompt_tokens + place.max_tokens
-        self.shares.charge(place.workspace, tokens, waiter.queued.weight)
-        waited_ms = int((now_s - waiter.queued.since_s) * MS)
-        upstream = choice.view.upstream
+            if views and not self._better_wait(queued, views, now_s):
+                self._assign(queued, views, now_s)
+            else:
+                passed.append(queued)
+        for queued in passed:
+            self.queue.push(self.view.pool.policy, queued, again=True)
+
+    def _better_wait(
+        self, queued: Queued, views: list[UpstreamView], now_s: float
+    ) -> bool:
+        """
+        Tells whether a call should wait for the upstream that has its cache.
+
+        It waits at most as long as computing the cached prefix again would take.
+        """
+        if self.view.pool.policy is not Policy.PROGRAM_FAIR:
+            return False
+        place = queued.place
+        session = session_of(place)
+        homes = [
+            view
+            for view in self.view.upstreams.values()
+            if view.cached(session)
+            and view not in views
+            and view.upstream.name not in place.excluded
+            and view.open_to_work(now_s)
+        ]
+        if not homes:
+            return False
+        home = max(homes, key=lambda view: view.cached(session))
+        saved_ms = min(prefill_ms(place, view) for view in views) - prefill_ms(
+            place, home
+        )
+        waited_ms = (now_s - queued.since_s) * MS
+        return waited_ms + self._slot_wait_ms(home, now_s) < saved_ms
+
+    def _slot_wait_ms(self, view: UpstreamView, now_s: float) -> float:
+        """Returns when an upstream's next slot is expected to be free."""
+        left = [
+            max(0.0, running.expected_ms - (now_s - running.since_s) * MS)
+            for running in view.running.values()
+        ]
+        return min(left, default=0.0)
+
+    def _assign(self, queued: Queued, views: list[UpstreamView], now_s: float) -> None:
+        place = queued.place
+        domain = self._domain_of(place.vm_id)
+        pool = self.view.pool
+        choice = choose(pool.policy, place, views, queued.number, domain)
+        view = choice.view
+        running = view.start(place, now_s)
+        if view.token_ms:
+            running.expected_ms = choice.expected_ms or estimate_ms(place, view)
+        running.charged_tokens = place.max_tokens + view.missing(place)
+        self.queue.charge(queued, running.charged_tokens)
+        waiter = self._waiters.pop(queued.number)
+        waited_ms = int((now_s - queued.since_s) * MS)
+        upstream = view.upstream
         if not waiter.done.done():
             waiter.done.set_result(
                 Placed(upstream.name, upstream.url, waited_ms, choice.reason)
@@ -93,112 +143,82 @@
     def _forget(self, call_id: str, upstream: str) -> None:
         view = self.view.upstreams.get(upstream)
         if view is not None:
-            view.running.pop(call_id, None)
+            view.drop(call_id, asyncio.get_running_loop().time())
         self.dispatch()
 
-    def finish(self, message: Finish) -> None:
+    def finish(self, message: Finish, weight_of: Callable[[str], float]) -> None:
         """Frees the call's slot and learns from how it went."""
         view = self.view.upstreams.get(message.upstream)
         if view is None:
             return
-        running = view.running.pop(message.call_id, None)
         now_s = asyncio.get_running_loop().time()
+        running = view.drop(message.call_id, now_s)
         if message.failed:
             view.fail(now_s)
         elif running is not None:
-            self._learn(view, running.place, message)
+            self._settle(running, message, weight_of(running.place.workspace))
+            self._learn(view, running.place, message, now_s)
         self.dispatch()
 
-    def _learn(self, view: UpstreamView, place: Place, message: Finish) -> None:
-        output_ms = max(0, message.total_ms - message.first_token_ms)
-        token_ms = output_ms / max(1, message.served_tokens)
-        view.observe(message.first_token_ms, token_ms)
+    def _settle(self, running: Running, message: Finish, weight: float) -> None:
+        """Replaces the estimate that was charged by the tokens in fact served."""
+        computed = max(0, message.prompt_tokens - message.cached_tokens)
+        tokens = computed + message.served_tokens - running.charged_tokens
+        self.queue.settle(running.place.workspace, tokens, weight)
+
+    def _learn(
+        self, view: UpstreamView, place: Place, message: Finish, now_s: float
+    ) -> None:
+        token_ms = view.observe(message)
+        if message.served_tokens > 1:
+            self.view.judge(view, token_ms, now_s)
         session = session_of(place)
         if message.program_ended:
             for other in self.view.upstreams.values():
-                other.cached_tokens.pop(session, None)
-        else:
-            view.cached_tokens[session] = place.prompt_tokens + message.served_tokens
+                other.held.pop(session, None)
+        elif message.prompt_tokens:
+            ratio = message.prompt_tokens / max(1, place.prompt_tokens)
+            self.view.calibration.observe(ratio)
+            tokens = message.prompt_tokens + message.served_tokens
+            view.held[session] = Held(tokens, now_s, ratio)
+
+    def register(self, vm_id: str, calls: list[str]) -> None:
+        """Takes over calls that another owner placed for a VM."""
+        now_s = asyncio.get_running_loop().time()
+        for text in calls:
+            call = PlacedCall.load(text)
+            view = self.view.upstreams.get(call.upstream)
+            if view is None or call.call_id in view.running:
+                continue
+            place = Place(
+                call.call_id,
+                self.name,
+                call.workspace,
+                call.program_id,
+                call.prompt_tokens,
+                call.max_tokens,
+                vm_id=vm_id,
+            )
+            view.start(place, now_s)
 
     def drop_vm(self, vm_id: str) -> None:
         """Frees the slots of calls whose owner was removed from the fleet."""
+        now_s = asyncio.get_running_loop().time()
         for view in self.view.upstreams.values():
             for call_id, running in list(view.running.items()):
                 if running.place.vm_id == vm_id:
-                    del view.running[call_id]
+                    view.drop(call_id, now_s)
         self.dispatch()
 
     def fail_all(self, error: Exception) -> None:
         """Fails the queue, because this VM does not own the pool any more."""
-        for waiter in self._queue:
+        for waiter in self._waiters.values():
             if not waiter.done.done():
                 waiter.done.set_exception(error)
-        self._queue.clear()
+        self._waiters.clear()
+        self.queue.clear()
 
     @property
     def queued(self) -> int:
         """How many calls wait."""
-        return len(self._queue)
-
-
-class PoolSchedulers:
-    """The schedulers of the pools that this VM owns."""
-
-    def __init__(self, vm_id: str, fleet: FleetLog) -> None:
-        self._vm_id = vm_id
-        self._fleet = fleet
-        self.schedulers: dict[str, PoolScheduler] = {}
-        fleet.listen(self._on_record)
-
-    def register(self, handlers: Handlers) -> None:
-        """Registers the handlers of `Place` and `Finish`."""
-        handlers.add(Place, self.on_place)
-        handlers.add(Finish, self.on_finish)
-
-    def _scheduler(self, name: str) -> PoolScheduler:
-        if self._fleet.state.owners.pool(name) != self._vm_id:
-            raise NotOwner(f"not the owner of pool {name}")
-        pool = self._pool(name)
-        if pool is None:
-            raise UpstreamUnavailable(f"there is no pool {name}")
-        if name not in self.schedulers:
-            self.schedulers[name] = PoolScheduler(name, pool)
-        return self.schedulers[name]
-
-    def _pool(self, name: str) -> Pool | None:
-        service, _, pool = name.partition("/")
-        document = self._fleet.state.document(service)
-        return document.pools.get(pool) if document else None
-
-    async def on_place(self, message: Place, sender: Sender) -> Placed:
-        """Queues a call and returns its upstream; raises `Refusal`."""
-        message.vm_id = sender.vm_id
-        limits = self._fleet.state.workspace(message.workspace)
-        weight = limits.weight if limits else 1.0
-        return await self._scheduler(message.pool).place(message, weight)
-
-    async def on_finish(self, message: Finish, sender: Sender) -> Ok:
-        """Notes the end of a placed call."""
-        scheduler = self.schedulers.get(message.pool)
-        if scheduler is not None:
-            scheduler.finish(message)
-        return Ok()
-
-    def _on_record(self, record: FleetRecord) -> None:
-        for name, scheduler in list(self.schedulers.items()):
-            pool = self._pool(name)
-            if self._fleet.state.owners.pool(name) != self._vm_id or pool is None:
-                scheduler.fail_all(NotOwner(f"not the owner of pool {name}"))
-                del self.schedulers[name]
-                continue
-            scheduler.view.update(pool)
-            if record.kind in ("vm_left", "vm_removed"):
-                scheduler.drop_vm(record.vm_id)
-            scheduler.dispatch()
-
-    async def tick(self) -> None:
-        """Dispatches regularly, for upstreams that have rested."""
-        while True:
-            await asyncio.sleep(1.0)
-            for scheduler in list(self.schedulers.values()):
-                scheduler.dispatch()
+        return len(self.queue)
--- a/packages/node/src/damasksaddle_node/programs/context.py
+++ b/packages/node/src/damasksaddle_node/programs/context.py
@@ -119,6 +119,12 @@
         if self.partition.lost:
             raise NotOwner
 
+    def _left_ms(self) -> int:
+        """Returns the time to the caller's deadline, 0 if there is none."""
+        if not self.call.timeout_ms:
+            return 0
+        return max(1, self.call.timeout_ms - self.elapsed_ms())
+
     async def place(
         self, prompt_bytes: int, max_tokens: int, excluded: list[str]
     ) -> Placed:
@@ -133,6 +139,8 @@
             attained_tokens=self.program.attained_tokens,
             last_upstream=self.program.upstream,
             excluded=excluded,
+            route=self.call.route,
+            deadline_ms=self._left_ms(),
         )
         placed = await self.services.pools.place(message, self.route.timeout_s)
         self.note(
--- a/packages/node/src/damasksaddle_node/programs/model.py
+++ b/packages/node/src/damasksaddle_node/programs/model.py
@@ -161,6 +161,7 @@
         finally:
             finish.served_tokens = output.tokens - before
             finish.cached_tokens = output.cached_tokens
+            finish.prompt_tokens = output.prompt_tokens
             first_s = output.first_token_s or self._context.now_s()
             finish.first_token_ms = max(0, int((first_s - started_s) * MS))
             finish.total_ms = int((self._context.now_s() - started_s) * MS)
--- a/packages/node/src/damasksaddle_node/upstreams/http.py
+++ b/packages/node/src/damasksaddle_node/upstreams/http.py
@@ -122,9 +122,10 @@
         """Frees what an engine holds for a session."""
         await self._control("POST", f"{url}/v1/release", {"session": session})
 
-    async def load(self, url: str) -> EngineLoad:
+    async def load(self, url: str, sessions: bool = False) -> EngineLoad:
         """Returns the engine's newest load report."""
-        report = await self._control("GET", f"{url}/v1/load")
+        query = f"sessions={int(sessions)}"
+        report = await self._control("GET", f"{url}/v1/load?{query}")
         try:
             return EngineLoad(**report)
         except TypeError as error:
@@ -169,6 +170,8 @@
                 if response.status != HTTP_OK:
                     raise UpstreamError(f"status {response.status}", sent=True)
                 return await response.json()
+        except aiohttp.ClientConnectorError as error:
+            raise UpstreamError(repr(error), sent=False) from error
         except _FAILURES as error:
             raise UpstreamError(repr(error), sent=True) from error
 
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -123,6 +123,20 @@
     last_upstream: str = ""
     excluded: list[str] = field(default_factory=list)
     vm_id: str = ""
+    route: str = ""
+    deadline_ms: int = 0
+
+
+@dataclass(slots=True)
+class Register:
+    """
+    Tells a pool's new owner which calls of the sender run on its upstreams.
+
+    Each call is the JSON of a `PlacedCall` of `damasksaddle_node.pools`.
+    """
+
+    pool: str
+    calls: list[str]
 
 
 @dataclass(slots=True)
@@ -148,6 +162,7 @@
     total_ms: int = 0
     failed: bool = False
     program_ended: bool = False
+    prompt_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -263,6 +278,7 @@
     | BucketHandover
     | BucketLevel
     | Handover
+    | Register
 )
 
 
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -32,6 +32,7 @@
     bucketHandover @25 :BucketHandover;
     bucketLevel @26 :BucketLevel;
     handover @27 :Handover;
+    register @28 :Register;
   }
 }
 
@@ -111,6 +112,13 @@
   lastUpstream @7 :Text;
   excluded @8 :List(Text);   # upstreams that already failed this call
   vmId @9 :Text;
+  route @10 :Text;
+  deadlineMs @11 :UInt32;    # time left for the call, 0 if its caller stated none
+}
+
+struct Register {
+  pool @0 :Text;
+  calls @1 :List(Text);      # JSON of each call that the sender has placed
 }
 
 struct Placed {
@@ -130,6 +138,7 @@
   totalMs @6 :UInt32;
   failed @7 :Bool;
   programEnded @8 :Bool;
+  promptTokens @9 :UInt32;   # as the engine counted them
 }
 
 struct Vouch {
--- a/packages/standins/src/damasksaddle_standins/engine.py
+++ b/packages/standins/src/damasksaddle_standins/engine.py
@@ -9,7 +9,7 @@
 import asyncio
 import json
 from collections.abc import AsyncGenerator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from damasksaddle.exceptions import UpstreamError
@@ -253,9 +253,9 @@
         self.cache.insert(session, blocks, keep=True)
         self._publish()
 
-    def load(self) -> EngineLoad:
+    def load(self, sessions: bool = True) -> EngineLoad:
         """Returns a load report, which lags."""
-        return self._reports.read(
+        report = self._reports.read(
             EngineLoad(
                 running=len(self._batch),
                 waiting=len(self._waiting),
@@ -264,6 +264,7 @@
                 sessions=self.cache.held(),
             )
         )
+        return report if sessions else replace(report, sessions={})
 
     def cache_events(self, after: int) -> list[CacheEvent]:
         """Returns the cache events after a number that are published by now."""
--- a/packages/standins/src/damasksaddle_standins/platform.py
+++ b/packages/standins/src/damasksaddle_standins/platform.py
@@ -136,6 +136,7 @@
 
     def __init__(self, lag_s: float = 0.0) -> None:
         self.lag_s = lag_s
+        self.down = False
         self._changes: list[tuple[float, list[ListedVm]]] = []
 
     def set(self, vms: list[ListedVm]) -> None:
@@ -144,6 +145,8 @@
         self._changes.append((now_s + self.lag_s, vms))
 
     async def read(self) -> list[ListedVm]:
+        if self.down:
+            raise TableUnavailable("the VM list is down")
         now_s = asyncio.get_running_loop().time()
         visible = [vms for at_s, vms in self._changes if at_s <= now_s]
         return visible[-1] if visible else []
--- a/packages/standins/src/damasksaddle_standins/servers.py
+++ b/packages/standins/src/damasksaddle_standins/servers.py
@@ -124,7 +124,9 @@
         return web.json_response({})
 
     async def load(request: web.Request) -> web.Response:
-        return web.json_response(asdict(engine.load()))
+        return web.json_response(
+            asdict(engine.load(request.query.get("sessions") == "1"))
+        )
 
     async def cache_events(request: web.Request) -> web.Response:
         events = engine.cache_events(int(request.query["after"]))
--- a/packages/standins/src/damasksaddle_standins/upstreams.py
+++ b/packages/standins/src/damasksaddle_standins/upstreams.py
@@ -51,8 +51,8 @@
     async def release(self, url: str, session: str) -> None:
         self._engine(url).release(session)
 
-    async def load(self, url: str) -> EngineLoad:
-        return self._engine(url).load()
+    async def load(self, url: str, sessions: bool = False) -> EngineLoad:
+        return self._engine(url).load(sessions)
 
     async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
         return self._engine(url).cache_events(after)
--- /dev/null
+++ b/tests/node/pools/test_pools.py
@@ -0,0 +1,195 @@
+"""Pools over real nodes: leaving upstreams, changes of the owner, slow engines."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+import pytest
+
+from damasksaddle.exceptions import Refusal
+from damasksaddle.platform import ListedVm
+from damasksaddle_node.entry import CallerRequest
+from damasksaddle_standins import EngineSettings, ModelEngine
+from damasksaddle_standins.fleet import LocalFleet
+
+SLOTS = 2
+POOL = "desk/writer"
+
+
+def document(engines: int, **fields) -> str:
+    upstreams = [
+        {
+            "name": f"run-{number}",
+            "url": f"http://run-{number}:80",
+            "failure_domain": "a",
+            "slots": SLOTS,
+            **fields,
+        }
+        for number in range(engines)
+    ]
+    limits = {"rate_per_s": 1000, "burst": 1000, "max_wait_ms": 20_000}
+    pool = {"kind": "model", "model": "lv", "upstreams": upstreams}
+    return json.dumps(
+        {
+            "service": "desk",
+            "pools": {"writer": pool},
+            "routes": {"chat": {"pool": "writer"}},
+            "workspaces": {"ngo": limits},
+        }
+    )
+
+
+class Desk:
+    """A fleet with engines, and callers that try again when they are refused."""
+
+    def __init__(self, fleet: LocalFleet, engines: int) -> None:
+        self.fleet = fleet
+        self.key = ""
+        self.engines = [
+            ModelEngine(EngineSettings(f"run-{n}", load_lag_s=1.0))
+            for n in range(engines)
+        ]
+        for engine in self.engines:
+            fleet.upstreams.engines[f"http://{engine.settings.name}:80"] = engine
+
+    async def call(self, program: str, tokens: int = 3) -> None:
+        body = {"messages": [{"role": "user", "content": program}]}
+        body["max_tokens"] = tokens
+        data = json.dumps(body).encode()
+        request = CallerRequest(
+            self.key, "desk", "chat", data, program_id=program, idempotency_key="k"
+        )
+        while True:
+            name = next(iter(self.fleet.nodes))
+            try:
+                await self.fleet.call(name, request)
+                return
+            except Refusal:
+                await asyncio.sleep(0.2)
+
+    async def calls(self, label: str, count: int, tokens: int = 3) -> None:
+        await asyncio.gather(
+            *(self.call(f"{label}{number}", tokens) for number in range(count))
+        )
+
+    def list_vms(self, **leaving: bool) -> None:
+        vms = [ListedVm(vm, vm, False) for vm in self.fleet.nodes]
+        vms += [
+            ListedVm(
+                f"host-{n}", f"{e.settings.name}:80", leaving.get(f"run{n}", False)
+            )
+            for n, e in enumerate(self.engines)
+        ]
+        self.fleet.vm_list.set(vms)
+
+    def pool_owner(self) -> str:
+        return self.fleet.owner_of(lambda state: state.owners.pool(POOL))
+
+    def most_at_once(self) -> list[int]:
+        """Returns each engine's greatest number of calls at the same time."""
+        found = []
+        for engine in self.engines:
+            ends = [
+                (call.arrived_s, 1, call.ended_s or float("inf"))
+                for call in engine.seen
+            ]
+            found.append(
+                max(sum(1 for a, _, end in ends if a <= at < end) for at, _, _ in ends)
+            )
+        return found
+
+
+@asynccontextmanager
+async def desk(engines: int = 2, nodes: int = 3, **fields):
+    async with LocalFleet(nodes) as fleet:
+        found = Desk(fleet, engines)
+        await fleet.apply("desk", document(engines, **fields))
+        found.key = await fleet.give_key("ngo")
+        yield found
+
+
+@pytest.mark.parametrize("change", ["none", "list down", "owner killed"])
+async def test_leaving_upstream(change):
+    """Guards against new work 5 s after the list shows an upstream as leaving."""
+    async with desk() as d:
+        loop = asyncio.get_running_loop()
+        d.fleet.vm_list.lag_s = 4.0
+        d.list_vms()
+        await asyncio.sleep(6)
+        long = asyncio.create_task(d.calls("long", 4, tokens=3000))
+        await asyncio.sleep(1)
+        d.list_vms(run1=True)
+        shown_s = loop.time() + 4.0
+        await asyncio.sleep(4.0 + 5.0)
+        if change != "none":
+            d.fleet.vm_list.down = True
+        if change == "owner killed":
+            await d.fleet.kill(d.pool_owner())
+        await d.calls("late", 6)
+        await long
+        late = [c for c in d.engines[1].seen if c.arrived_s > shown_s + 5.0]
+        assert late == []
+        ends = {call.ended for call in d.engines[1].seen}
+        assert ends == {"finished"} if change != "owner killed" else "finished" in ends
+
+
+async def test_document_marks_leaving():
+    """Guards against new work to an upstream that the document marks."""
+    async with desk() as d:
+        text = json.loads(document(2))
+        text["pools"]["writer"]["upstreams"][0]["leaving"] = True
+        await d.fleet.apply("desk", json.dumps(text))
+        await d.calls("a", 4)
+        assert d.engines[0].seen == []
+
+
+async def test_unreachable_upstream_rests():
+    """Guards against calls that keep trying an upstream that cannot be reached."""
+    async with desk() as d:
+        d.fleet.upstreams.down.add("http://run-0:80")
+        await asyncio.sleep(3)
+        view = d.fleet.nodes[d.pool_owner()].schedulers.schedulers[POOL].view
+        assert view.usable(asyncio.get_running_loop().time(), []) == [
+            view.upstreams["run-1"]
+        ]
+        await d.calls("a", 2)
+        assert len(d.engines[1].seen) == 2
+
+
+@pytest.mark.parametrize("how", ["killed", "leaves"])
+async def test_new_owner_does_not_overload(how):
+    """Guards against a new owner that places calls on slots that are in use."""
+    async with desk(nodes=4) as d:
+        # Programs of other owners than the pool's, so that their calls go on.
+        first = asyncio.create_task(d.calls("long", 4, tokens=4000))
+        await asyncio.sleep(2)
+        owner = d.pool_owner()
+        if how == "killed":
+            await d.fleet.kill(owner)
+        else:
+            leaving = asyncio.create_task(d.fleet.nodes[owner].leave())
+        await asyncio.sleep(0.05)
+        await asyncio.gather(first, d.calls("more", 8, tokens=50))
+        if how == "leaves":
+            await leaving
+        assert max(d.most_at_once()) <= SLOTS
+
+
+async def test_slow_engine_is_drained_and_tried_again():
+    """Guards against programs that wait for an engine with a grey failure."""
+    async with desk(engines=4) as d:
+        for number in range(4):
+            await d.calls(f"warm{number}-", 8, tokens=20)
+        slow = d.engines[0]
+        slow.settings.slowness = 20.0
+        await d.calls("a", 8, tokens=50)
+        await asyncio.sleep(5)
+        drained = len(slow.seen)
+        for number in range(6):
+            await d.calls(f"b{number}-", 4, tokens=20)
+        assert len(slow.seen) - drained <= 1
+        slow.settings.slowness = 1.0
+        await asyncio.sleep(60)
+        for number in range(6):
+            await d.calls(f"c{number}-", 8, tokens=20)
+        assert len(slow.seen) - drained >= 5
--- /dev/null
+++ b/tests/node/pools/test_queue.py
@@ -0,0 +1,81 @@
+"""The order of a pool's queue."""
+
+from collections import Counter
+
+from damasksaddle.config import Policy
+from damasksaddle_node.pools.queue import CallQueue, Queued
+from damasksaddle_protocol import Place
+
+
+def queued(number: int, workspace: str = "w", since_s: float = 0.0, **fields) -> Queued:
+    fields = {"prompt_tokens": 100, "max_tokens": 10, **fields}
+    weight = fields.pop("weight", 1.0)
+    place = Place(f"c{number}", "desk/writer", workspace, f"p{number}", **fields)
+    return Queued(place, since_s, weight, number)
+
+
+def drain(queue: CallQueue, limit: int = 1000) -> list[Queued]:
+    order = []
+    while len(order) < limit and (call := queue.pop()):
+        queue.charge(call, 110)
+        order.append(call)
+    return order
+
+
+def test_share_follows_weight():
+    """Guards against a workspace with a long queue getting more than its weight."""
+    queue = CallQueue()
+    for number in range(300):
+        queue.push(Policy.PROGRAM_FAIR, queued(number, "flood"))
+    for number in range(300, 400):
+        queue.push(Policy.PROGRAM_FAIR, queued(number, "heavy", weight=3.0))
+    served = Counter(call.place.workspace for call in drain(queue, 100))
+    assert served == {"flood": 25, "heavy": 75}
+
+
+def test_idle_workspace_saves_no_credit():
+    """Guards against a returning workspace that blocks all others for long."""
+    queue = CallQueue()
+    for number in range(100):
+        queue.push(Policy.PROGRAM_FAIR, queued(number, "busy"))
+    drain(queue, 50)
+    for number in range(100, 150):
+        queue.push(Policy.PROGRAM_FAIR, queued(number, "idle"))
+    served = Counter(call.place.workspace for call in drain(queue, 20))
+    assert abs(served["busy"] - served["idle"]) <= 1
+
+
+def test_settled_tokens_count():
+    """Guards against estimates that stay charged when less was served."""
+    queue = CallQueue()
+    for number in range(4):
+        queue.push(Policy.PROGRAM_FAIR, queued(number, "ab"[number % 2]))
+    first = queue.pop()
+    queue.charge(first, 1000)
+    queue.settle(first.place.workspace, -1000, 1.0)
+    queue.charge(queue.pop(), 10)
+    assert [call.place.workspace for call in drain(queue)][0] == "b"
+
+
+def test_long_programs_wait_a_bounded_time():
+    """Guards against a program of many tokens that starves behind short ones."""
+    queue = CallQueue()
+    queue.push(Policy.PROGRAM_FAIR, queued(0, attained_tokens=70_000_000))
+    for number in range(1, 30):
+        call = queued(number, since_s=number, deadline_ms=3000 * (number == 20))
+        queue.push(Policy.PROGRAM_FAIR, call)
+    order = [call.number for call in drain(queue)]
+    assert order.index(0) < 10
+    assert order.index(20) < order.index(14)
+
+
+def test_left_calls_are_forgotten():
+    """Guards against a slot given to a call whose caller has left."""
+    queue = CallQueue()
+    calls = [queued(number) for number in range(3)]
+    for call in calls:
+        queue.push(Policy.ROUND_ROBIN, call)
+    queue.remove(calls[0])
+    assert len(queue) == 2
+    assert [call.number for call in drain(queue)] == [1, 2]
+    assert len(queue) == 0
