--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -109,7 +109,9 @@
         self.committers = Committers(
             self.vm_id, settings.streams, table, self.fleet, self.peers, timing
         )
-        self.schedulers = PoolSchedulers(self.vm_id, self.fleet)
+        self.schedulers = PoolSchedulers(
+            self.vm_id, self.fleet, upstreams, vm_list, timing, self.guard
+        )
         self.owner = ProgramOwner(
             Services(
                 settings,
@@ -162,6 +164,8 @@
             self.committers.open_orphans(),
             self.schedulers.tick(),
             self.owner.tend(),
+            self.schedulers.watch_list(),
+            self.schedulers.watch_load(),
             self._watch_freshness(),
             self._watch_membership(),
         ):
--- a/tests/node/test_metrics.py
+++ b/tests/node/test_metrics.py
@@ -15,7 +15,9 @@
     async with LocalFleet(3) as fleet:
         await fleet.kill("vm2")
         await fleet.sleep(20)
-        assert seen == {"removals": 1}
+        # Each of the four streams is loaded once by its first committer; those of
+        # the killed VM had not been loaded yet when it died.
+        assert seen == {"removals": 1, "takeovers.streams": 4}
         fleet.table.faults.down = True
         await fleet.sleep(2)
         assert seen["table.errors"] > 0
