End what waits for a VM that hangs, and stop fast when asked twice

Cause, seen with real processes (tests/node/test_processes.py): a call that an entry VM had forwarded to a paused owner was not answered while the owner stayed paused, since its connection stayed open after it was removed from the roster. A second SIGTERM waited for open streams (60 s, the default of the HTTP server). Two nodes that both got SIGTERM did not end within 100 s, because nobody was left to commit what they handed over; the last node of a fleet had the same problem.

Change: connections to VMs that are no longer members are closed when the roster changes. A stop cuts what is left after 1 s; a planned stop has ended all requests before. VMs that are all leaving keep what they own until they have left. A VM that was stopped in a hurry appends `VmLeft` once nothing of it runs, so that its successors do not wait for its lease.

--- a/packages/node/src/damasksaddle_node/commands/serve.py
+++ b/packages/node/src/damasksaddle_node/commands/serve.py
@@ -32,6 +32,8 @@
 # Ends the process so that its supervisor starts it as a new member.
 EXIT_REMOVED = 75
 EXIT_SETTINGS = 2
+# Inside of `serve` only: a second signal ended the planned stop.
+EXIT_HURRIED = -1
 EXIT_FAILED = 1
 METAVARS: dict[Any, str] = {int: "INTEGER", float: "FLOAT"}
 PROGRAM = "damasksaddled"
@@ -58,6 +60,11 @@
         print(f"ready {node.vm_id} {node.http_url} {node.admin_url}", flush=True)
         status = await _until_stopped(node)
         await node.stop()
+        if status == EXIT_HURRIED:
+            # Nothing of it runs any more, so its successors need not wait for its
+            # lease to run out.
+            await node.left()
+            status = 0
         return status
 
 
@@ -75,8 +82,8 @@
     loop.add_signal_handler(signal.SIGUSR1, dump_to_log, node)
     if await _first(stopping.wait(), node.removed.wait()) == 1:
         return EXIT_REMOVED
-    await _first(node.leave(), hurried.wait(), node.removed.wait())
-    return 0
+    ended = await _first(node.leave(), hurried.wait(), node.removed.wait())
+    return EXIT_HURRIED if ended == 1 else 0
 
 
 async def _first(*waits: Any) -> int:
--- a/packages/node/src/damasksaddle_node/fleet/state.py
+++ b/packages/node/src/damasksaddle_node/fleet/state.py
@@ -112,9 +112,10 @@
 
     def _roster_changed(self, position: int) -> None:
         self.epoch = position
-        self.owners = Owners(
-            vm_id for vm_id, member in self.members.items() if not member.leaving
-        )
+        staying = [v for v, member in self.members.items() if not member.leaving]
+        # The last VMs of a fleet that is shut down keep what they own until they
+        # have left, so that their records still become durable.
+        self.owners = Owners(staying or self.members)
 
     def _apply_document(self, record: DocumentApplied) -> None:
         in_force = self.documents.get(record.service)
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -47,6 +47,9 @@
 log = get_log("node")
 
 JOIN_RETRY_S = 0.5
+# A planned stop has ended all requests before; others are cut after this time.
+SHUTDOWN_TIMEOUT_S = 1.0
+LEFT_TIMEOUT_S = 2.0
 
 
 class Node(Service):
@@ -134,6 +137,12 @@
         ):
             part.register(self.handlers)
 
+        self.fleet.listen(self._on_record)
+
+    def _on_record(self, record: FleetRecord) -> None:
+        if record.kind.startswith("vm_"):
+            self.peers.keep_only(self.fleet.state.members)
+
     def _epoch(self) -> int:
         return self.fleet.state.epoch
 
@@ -197,7 +206,12 @@
         port: int,
         tls: ssl.SSLContext | None,
     ) -> str:
-        runner = ProblemRunner(app, access_log=None, handler_cancellation=True)
+        runner = ProblemRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
         await runner.setup()
         self._runners.append(runner)
         site = web.TCPSite(runner, host, port, ssl_context=tls)
@@ -290,10 +304,15 @@
                 await asyncio.sleep(timing.hold_s)
                 while self.entry.open_calls or self.owner.runs:
                     await asyncio.sleep(0.05)
-        with suppress(PlatformError):
-            await self.fleet.append(lambda state: VmLeft(self.vm_id))
+        await self.left()
         log.info("Left the fleet.", vm=self.vm_id)
 
+    async def left(self) -> None:
+        """Tells the fleet that this VM acts no more, if the table can be written."""
+        with suppress(PlatformError, TimeoutError):
+            async with asyncio.timeout(LEFT_TIMEOUT_S):
+                await self.fleet.append(lambda state: VmLeft(self.vm_id))
+
     async def on_stop(self) -> None:
         """Stops all parts at once; `leave` comes before it in a planned stop."""
         for runner in self._runners:
--- a/packages/node/src/damasksaddle_node/peers/pool.py
+++ b/packages/node/src/damasksaddle_node/peers/pool.py
@@ -1,7 +1,7 @@
 """Sends requests to peers, over one connection per peer."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Callable, Container
 from contextlib import aclosing, suppress
 
 from damasksaddle.exceptions import (
@@ -210,6 +210,15 @@
         if connection is not None:
             connection.close()
 
+    def keep_only(self, members: Container[str]) -> None:
+        """
+        Closes connections to VMs that are no longer members.
+
+        A VM that hangs keeps its connections open; requests to it end here.
+        """
+        for vm_id in [known for known in self._dialling if known not in members]:
+            self.forget(vm_id)
+
     def close(self) -> None:
         """Closes all connections."""
         for vm_id in list(self._connections):
--- a/packages/standins/src/damasksaddle_standins/__main__.py
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -12,6 +12,7 @@
 from damasksaddle_standins.demo import run_demo
 from damasksaddle_standins.engine import EngineSettings, ModelEngine
 from damasksaddle_standins.platform import MemoryObjects, MemoryTable
+from damasksaddle_standins.recording import Recorder
 from damasksaddle_standins.servers import engine_app, platform_app, tool_app
 from damasksaddle_standins.streams import run_streams
 from damasksaddle_standins.tool import ToolService
@@ -50,15 +51,18 @@
 @click.option("--checks-fencing/--ignores-fencing", default=True)
 def engine(port: int, **options: Any) -> None:
     """Runs a model engine."""
-    asyncio.run(_serve(engine_app(ModelEngine(EngineSettings(**options))), port))
+    app = engine_app(ModelEngine(EngineSettings(**options)))
+    asyncio.run(_serve(Recorder().install(app), port))
 
 
 @main.command()
 @click.option("--port", default=0)
 @click.option("--name", default="tool")
-def tool(port: int, name: str) -> None:
+@click.option("--delay-s", default=0.02)
+def tool(port: int, name: str, delay_s: float) -> None:
     """Runs a plain service."""
-    asyncio.run(_serve(tool_app(ToolService(name)), port))
+    app = tool_app(ToolService(name, delay_s))
+    asyncio.run(_serve(Recorder().install(app), port))
 
 
 @main.command()
--- a/tests/node/http/desk.py
+++ b/packages/standins/src/damasksaddle_standins/desk.py
@@ -1,10 +1,17 @@
-"""A service with a model, filings and look-ups, and callers of it."""
+"""A service with a model, filings and look-ups, for tests of the whole path."""
 
 import json
+from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 from typing import Any
 
-from damasksaddle_standins.http_fleet import RawAnswer, http_fleet, send_raw
+from damasksaddle_standins.engine import ModelEngine
+from damasksaddle_standins.http_fleet import (
+    HttpFleet,
+    RawAnswer,
+    http_fleet,
+    send_raw,
+)
 
 CHAT = "/v1/chat/completions"
 FILE = "/v1/services/desk/file"
@@ -43,7 +50,12 @@
 
 
 @asynccontextmanager
-async def desk(size: int, engine=None, tool_url: str = "", **changes):
+async def desk(
+    size: int,
+    engine: ModelEngine | None = None,
+    tool_url: str = "",
+    **changes: Any,
+) -> AsyncGenerator[tuple[HttpFleet, str], None]:
     """Yields a fleet that runs the service, and a key of workspace `ngo`."""
     async with http_fleet(size, engine, **changes) as fleet:
         tool = tool_url or fleet.urls["tool"]
--- a/packages/standins/src/damasksaddle_standins/process_fleet.py
+++ b/packages/standins/src/damasksaddle_standins/process_fleet.py
@@ -16,6 +16,8 @@
 }
 # Many processes that start at once on a busy machine take long to import.
 STARTS_AT_ONCE = 4
+HTTP_OK = 200
+RETRY_S = 0.2
 
 
 @dataclass(slots=True)
@@ -142,6 +144,76 @@
         except aiohttp.ClientError as error:
             return 0, repr(error)
 
+    async def owner_of(self, key: str, program: str) -> str:
+        """Returns the name of the VM that owns a program."""
+        headers = {"Authorization": f"Bearer {key}"}
+        url = f"{self.url('vm0')}/v1/addresses?program={program}"
+        async with self.session.get(url, headers=headers) as response:
+            vm_id = (await response.json())["addresses"][0]["vm"]
+        return vm_id.rpartition("-")[0]
+
+    async def other_program(self, key: str) -> tuple[str, str]:
+        """Returns a program that another VM than `vm0` owns, and that VM."""
+        for number in range(100):
+            owner = await self.owner_of(key, f"p{number}")
+            if owner != "vm0":
+                return f"p{number}", owner
+        raise RuntimeError("vm0 owns everything")
+
+    async def retried(
+        self, node: str, key: str, path: str, body: Any, **headers: str
+    ) -> Any:
+        """Repeats a call every 0.2 s until it is answered; returns the answer."""
+        while True:
+            status, answer = await self.caller(node, key, path, body, **headers)
+            if status == HTTP_OK:
+                return answer
+            await asyncio.sleep(RETRY_S)
+
+    async def streamed(
+        self,
+        node: str,
+        key: str,
+        body: Any,
+        begun: asyncio.Event | None = None,
+        **headers: str,
+    ) -> tuple[str, bool]:
+        """Streams a completion; returns its text and whether it came to its end."""
+        found = {f"X-Damasksaddle-{k.title()}": v for k, v in headers.items()}
+        found["Authorization"] = f"Bearer {key}"
+        text, whole = "", False
+        async with self.session.post(
+            f"{self.url(node)}/v1/chat/completions",
+            json={**body, "stream": True},
+            headers=found,
+        ) as response:
+            if response.status != HTTP_OK:
+                raise RuntimeError(await response.text())
+            async for line in response.content:
+                whole = whole or line.startswith(b"data: [DONE]")
+                if line.startswith(b"data: {") and b'"choices"' in line:
+                    delta = json.loads(line[6:])["choices"][0]["delta"]
+                    text += delta.get("content") or ""
+                    if begun is not None and text:
+                        begun.set()
+        return text, whole
+
+    async def prompts(self) -> list[list[str]]:
+        """Returns the contents of the messages of each call that engines saw."""
+        asked = []
+        for engine in self.engines.values():
+            seen = await self.standin(engine, "/requests")
+            asked += [json.loads(r["body"]) for r in seen if "chat" in r["target"]]
+        return [[message["content"] for message in body["messages"]] for body in asked]
+
+    async def filings(self) -> list[str]:
+        """Returns the bodies that plain services saw."""
+        found: list[str] = []
+        for tool in self.tools.values():
+            seen = await self.standin(tool, "/seen")
+            found.extend(body for _, _, body in seen["calls"])
+        return found
+
 
 def path_of(document: dict[str, Any]) -> str:
     """Returns the operators' path of a document."""
--- a/tests/node/http/test_callers.py
+++ b/tests/node/http/test_callers.py
@@ -9,11 +9,18 @@
 import openai
 import pytest
 from aiohttp import web
-from desk import CHAT, FILE, chat_body, desk, request_of, verdict
 
 from damasksaddle_node.peers.answers import AnswerQueue
 from damasksaddle_protocol import CallChunk, CallEnd
 from damasksaddle_standins import EngineSettings, ModelEngine
+from damasksaddle_standins.desk import (
+    CHAT,
+    FILE,
+    chat_body,
+    desk,
+    request_of,
+    verdict,
+)
 from damasksaddle_standins.http_fleet import listen, send_raw
 
 pytestmark = pytest.mark.processes
