Bound what strangers can send and fail with types on bad frames

Cause: fuzzed values made the codec raise AttributeError instead of ProtocolViolation (BucketLevel with a dict as level). A process without the fleet secret could make a node read frames of up to 8 MiB; a peer that used a request id twice left the first request running after its connection had ended; the border of nonce and vm_id in the handshake's MAC was not fixed.

Change: frames before the proof have at most 1 KiB, nonces have 16 bytes, a request id that is in use ends the connection, and the codec maps every failure to its type.

--- a/packages/node/src/damasksaddle_node/peers/handshake.py
+++ b/packages/node/src/damasksaddle_node/peers/handshake.py
@@ -14,6 +14,8 @@
 from damasksaddle_protocol import Frame, Hello, Writer, pack, read_frame
 
 NONCE_BYTES = 16
+# What a process that has proved nothing yet can make this one read.
+HELLO_BYTES = 1024
 
 
 def _mac(secret: str, role: str, nonce: bytes, vm_id: str) -> bytes:
@@ -22,9 +24,12 @@
 
 
 async def _read_hello(reader: asyncio.StreamReader) -> Hello:
-    frame = await read_frame(reader)
+    frame = await read_frame(reader, HELLO_BYTES)
     if not isinstance(frame.message, Hello):
         raise PeerRejected("the peer did not open with Hello")
+    if len(frame.message.nonce) != NONCE_BYTES:
+        # Nonce and vm_id follow each other in the MAC, so their border is fixed.
+        raise PeerRejected("the peer's nonce has a wrong length")
     return frame.message
 
 
--- a/packages/node/src/damasksaddle_node/peers/server.py
+++ b/packages/node/src/damasksaddle_node/peers/server.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from damasksaddle.exceptions import NotRun, PeerError, Refusal
+from damasksaddle.exceptions import NotRun, PeerError, ProtocolViolation, Refusal
 from damasksaddle.utils import get_log
 from damasksaddle_node.peers.answers import BatchedWriter
 from damasksaddle_node.peers.handshake import greet_as_server
@@ -168,6 +168,8 @@
             task.cancel()
 
     def _begin(self, frame: Frame) -> None:
+        if frame.request_id in self._running:
+            raise ProtocolViolation(f"request {frame.request_id} runs already")
         if len(self._running) >= MAX_REQUESTS_PER_PEER:
             refusal = Refusal("the VM has too many requests", retry_after_s=1.0)
             self._write(frame.request_id, failure_from(refusal))
--- a/packages/protocol/src/damasksaddle_protocol/codec.py
+++ b/packages/protocol/src/damasksaddle_protocol/codec.py
@@ -18,6 +18,14 @@
 TRAVERSAL_LIMIT_WORDS = 4 * 1024 * 1024
 
 
+# What pycapnp raises for values that do not fit their field.
+_NOT_ENCODABLE = (
+    capnp.KjException,
+    AttributeError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 _PLAIN = frozenset((str, int, float, bool, bytes))
 
 
@@ -54,7 +62,7 @@
         for name, wire_name in _FIELDS[kind]:
             setattr(part, wire_name, getattr(frame.message, name))
         return built.to_bytes_packed()
-    except (capnp.KjException, TypeError, OverflowError, ValueError) as error:
+    except _NOT_ENCODABLE as error:
         raise ProtocolViolation(f"cannot encode {kind.__name__}: {error}") from error
 
 
--- a/packages/protocol/src/damasksaddle_protocol/framing.py
+++ b/packages/protocol/src/damasksaddle_protocol/framing.py
@@ -30,7 +30,9 @@
     return _HEADER.pack(len(data)) + data
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Frame:
+async def read_frame(
+    reader: asyncio.StreamReader, limit_bytes: int = MAX_FRAME_BYTES
+) -> Frame:
     """
     Reads one frame.
 
@@ -38,6 +40,6 @@
     `asyncio.IncompleteReadError` at the end of the stream.
     """
     (size_bytes,) = _HEADER.unpack(await reader.readexactly(_HEADER.size))
-    if size_bytes > MAX_FRAME_BYTES:
+    if size_bytes > limit_bytes:
         raise ProtocolViolation(f"a frame of {size_bytes} bytes is too large")
     return decode(await reader.readexactly(size_bytes))
