Measure costs with a document that names its model

Cause: documents are now refused if a model pool names no model, and the costs command stopped there.

--- a/packages/standins/src/damasksaddle_standins/costs.py
+++ b/packages/standins/src/damasksaddle_standins/costs.py
@@ -226,7 +226,7 @@
     text = json.dumps(
         {
             "service": "s",
-            "pools": {"p": {"kind": "model", "upstreams": upstreams}},
+            "pools": {"p": {"kind": "model", "model": "m", "upstreams": upstreams}},
             "routes": {"chat": {"pool": "p"}},
             "workspaces": {
                 f"workspace-{n}": {"rate_per_s": 5, "burst": 10} for n in range(67)
