Give engines their orders, fenced by the epoch, within the store's rate

Cause: nobody made engines hold the model, adapter and version of the document.

Change: the owner of a pool reads what each engine holds and orders what is missing, with the epoch as fencing number; an engine that already holds it gets one order too, which shuts out former owners. For upstreams that ignore the number, a new owner waits order_timeout_s, reads back, then orders. Each load takes a slot of the weight store, which is a pool of its own with one queue for the whole fleet (weight_loads in the document, 1 unless stated).

Ruled out: a limit of loads per VM with backoff.

Seen failing with the change undone in part: without the wait, the order of a killed owner came after its successor's (v1, v3, v2, v3); with a constant number, a checking engine carried out the old order.

Conclusion: proved with two owners in turn and loads that end within order_timeout_s; a load that takes longer is reported as failed and looked at again.

--- a/packages/core/src/damasksaddle/config/documents.py
+++ b/packages/core/src/damasksaddle/config/documents.py
@@ -74,6 +74,11 @@
     model: str = Field(default="", description="Model that the engines must hold.")
     adapter: str = Field(default="", description="Adapter on the model.")
     version: str = Field(default="", description="Version of the model.")
+    weight_loads: Annotated[int, Field(ge=1)] = Field(
+        default=1,
+        description="Loads of weights at one time in the whole fleet; the least of "
+        "all pools counts.",
+    )
     prompt_micros_per_ktoken: Annotated[int, Field(ge=0)] = Field(
         default=0, description="Price of 1,000 prompt tokens, in millionths."
     )
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -112,15 +112,16 @@
         self.committers = Committers(
             self.vm_id, settings.streams, table, self.fleet, self.peers, timing
         )
+        pools = PoolClient(self.fleet, self.peers)
         self.schedulers = PoolSchedulers(
-            self.vm_id, self.fleet, upstreams, vm_list, timing, self.guard
+            self.vm_id, self.fleet, pools, upstreams, vm_list, timing, self.guard
         )
         self.owner = ProgramOwner(
             Services(
                 settings,
                 self.fleet,
                 self.limiter,
-                PoolClient(self.fleet, self.peers),
+                pools,
                 upstreams,
                 Sealer(settings.fleet_secret),
                 self.guard,
@@ -175,6 +176,7 @@
             self.owner.tend(),
             self.schedulers.watch_list(),
             self.schedulers.watch_load(),
+            self.schedulers.give_orders(),
             self._watch_freshness(),
             self._watch_membership(),
         ):
--- a/packages/node/src/damasksaddle_node/pools/client.py
+++ b/packages/node/src/damasksaddle_node/pools/client.py
@@ -17,6 +17,7 @@
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.fleet.records import FleetRecord
 from damasksaddle_node.peers import PeerPool
+from damasksaddle_node.pools.weights import pool_names
 from damasksaddle_protocol import Finish, Place, Placed, Register
 
 log = get_log("pools")
@@ -141,12 +142,10 @@
 
     def _on_record(self, record: FleetRecord) -> None:
         state = self._fleet.state
-        for service, version in state.documents.items():
-            for name in version.document.pools:
-                pool = f"{service}/{name}"
-                owner = state.owners.pool(pool)
-                former = self._owners.get(pool)
-                self._owners[pool] = owner
-                # A VM that replays the log is not a member yet.
-                if former not in (None, owner) and self._peers.vm_id in state.members:
-                    self._spawn(self._register(pool))
+        for pool in pool_names(state):
+            owner = state.owners.pool(pool)
+            former = self._owners.get(pool)
+            self._owners[pool] = owner
+            # A VM that replays the log is not a member yet.
+            if former not in (None, owner) and self._peers.vm_id in state.members:
+                self._spawn(self._register(pool))
--- a/packages/node/src/damasksaddle_node/pools/owner.py
+++ b/packages/node/src/damasksaddle_node/pools/owner.py
@@ -16,9 +16,12 @@
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.fleet.records import FleetRecord
 from damasksaddle_node.peers import Handlers, Sender
+from damasksaddle_node.pools.client import PoolClient
 from damasksaddle_node.pools.engines import UpstreamView
 from damasksaddle_node.pools.listing import LeavingList
+from damasksaddle_node.pools.orders import PoolOrders
 from damasksaddle_node.pools.scheduler import PoolScheduler
+from damasksaddle_node.pools.weights import WEIGHTS, pool_names, weights_pool
 from damasksaddle_node.settings import Timing
 from damasksaddle_node.upstreams import Upstreams
 from damasksaddle_protocol import Finish, Ok, Place, Placed, Register
@@ -27,6 +30,7 @@
 
 TICK_S = 1.0
 LOAD_PERIOD_S = 1.0
+ORDER_PERIOD_S = 0.5
 # Every node reads the list, so that a new owner of a pool knows what it showed even
 # if it cannot be read any more. 390 nodes make 195 reads/s.
 LIST_PERIOD_S = 2.0
@@ -50,6 +54,7 @@
         self,
         vm_id: str,
         fleet: FleetLog,
+        client: PoolClient,
         upstreams: Upstreams,
         vm_list: VmList,
         timing: Timing,
@@ -57,11 +62,14 @@
     ) -> None:
         self._vm_id = vm_id
         self._fleet = fleet
+        self._client = client
         self._upstreams = upstreams
         self._timing = timing
         self._guard = guard
         self._owners: dict[str, str | None] = {}
         self._gained: dict[str, _Gained] = {}
+        self._owned_since_s: dict[str, float] = {}
+        self._orders: dict[str, asyncio.Task[None]] = {}
         self.leaving = LeavingList(vm_list)
         self.schedulers: dict[str, PoolScheduler] = {}
         fleet.listen(self._on_record)
@@ -96,6 +104,8 @@
         return member.failure_domain if member else ""
 
     def _pool(self, name: str) -> Pool | None:
+        if name == WEIGHTS:
+            return weights_pool(self._fleet.state)
         service, _, pool = name.partition("/")
         document = self._fleet.state.document(service)
         return document.pools.get(pool) if document else None
@@ -129,7 +139,7 @@
     # Changes of the roster and of documents.
 
     def _on_record(self, record: FleetRecord) -> None:
-        self._note_owners()
+        self._note_owners(record.kind == "document_applied")
         for name, scheduler in list(self.schedulers.items()):
             pool = self._pool(name)
             if self._fleet.state.owners.pool(name) != self._vm_id or pool is None:
@@ -142,19 +152,24 @@
                 scheduler.drop_vm(record.vm_id)
             scheduler.dispatch()
 
-    def _note_owners(self) -> None:
+    def _note_owners(self, by_document: bool) -> None:
         """Notes the pools that this VM took over from another one."""
         state = self._fleet.state
         now_s = asyncio.get_running_loop().time()
-        for service, version in state.documents.items():
-            for name in version.document.pools:
-                pool = f"{service}/{name}"
-                owner, former = state.owners.pool(pool), self._owners.get(pool)
-                self._owners[pool] = owner
-                if owner != self._vm_id:
-                    self._gained.pop(pool, None)
-                elif former not in (None, owner):
-                    self._gained[pool] = _Gained(now_s, set(state.members))
+        for pool in pool_names(state):
+            owner, former = state.owners.pool(pool), self._owners.get(pool)
+            self._owners[pool] = owner
+            if owner == former:
+                continue
+            if owner != self._vm_id:
+                self._gained.pop(pool, None)
+                self._owned_since_s.pop(pool, None)
+                continue
+            # Nobody has given orders for a pool that a document just declared.
+            new = by_document and former is None
+            self._owned_since_s[pool] = float("-inf") if new else now_s
+            if former is not None:
+                self._gained[pool] = _Gained(now_s, set(state.members))
         for pool in list(self._gained):
             self._settle_gained(pool)
 
@@ -217,8 +232,48 @@
                 )
             )
 
+    async def give_orders(self) -> None:
+        """Runs one task per owned pool that gives its orders."""
+        try:
+            while True:
+                self._start_orders()
+                await asyncio.sleep(ORDER_PERIOD_S)
+        finally:
+            for task in self._orders.values():
+                task.cancel()
+
+    def _start_orders(self) -> None:
+        for name, task in list(self._orders.items()):
+            if task.done() or name not in self.schedulers:
+                task.cancel()
+                del self._orders[name]
+        for name in self._own_pools():
+            pool = self._pool(name)
+            wanted = pool is not None and pool.kind is RouteKind.MODEL and pool.model
+            if wanted and name not in self._orders:
+                work = self._keep_orders(self._scheduler(name))
+                self._orders[name] = asyncio.create_task(work)
+
+    async def _keep_orders(self, scheduler: PoolScheduler) -> None:
+        orders = PoolOrders(
+            scheduler,
+            self._fleet,
+            self._client,
+            self._upstreams,
+            self._guard,
+            self._owned_since_s.get(scheduler.name, float("-inf")),
+            self._timing.order_timeout_s,
+        )
+        while self.schedulers.get(scheduler.name) is scheduler:
+            await orders.round()
+            await asyncio.sleep(ORDER_PERIOD_S)
+
     def _own_pools(self) -> list[str]:
-        return [pool for pool, owner in self._owners.items() if owner == self._vm_id]
+        return [
+            pool
+            for pool, owner in self._owners.items()
+            if owner == self._vm_id and self._pool(pool) is not None
+        ]
 
     async def _read_engine(self, scheduler: PoolScheduler, view: UpstreamView) -> None:
         url = view.upstream.url
--- a/packages/standins/src/damasksaddle_standins/engine.py
+++ b/packages/standins/src/damasksaddle_standins/engine.py
@@ -112,6 +112,7 @@
         self._waiting: list[_Call] = []
         self._batch: list[_Call] = []
         self._task: asyncio.Task[None] | None = None
+        self._order_tasks: set[asyncio.Task[None]] = set()
 
     async def generate(
         self, request: EngineRequest
@@ -271,7 +272,17 @@
         return self._events.after(after)
 
     async def order(self, order: EngineOrder) -> None:
-        """Carries out an order; raises `OrderRefused` or `UpstreamError`."""
+        """
+        Carries out an order; raises `OrderRefused` or `UpstreamError`.
+
+        An order that was sent takes effect even if its sender dies.
+        """
+        task = asyncio.create_task(self._carry_out(order))
+        self._order_tasks.add(task)
+        task.add_done_callback(self._order_tasks.discard)
+        await asyncio.shield(task)
+
+    async def _carry_out(self, order: EngineOrder) -> None:
         if await self.orders.order(order):
             self.cache.clear()
             self._publish()
--- a/packages/standins/src/damasksaddle_standins/orders.py
+++ b/packages/standins/src/damasksaddle_standins/orders.py
@@ -53,7 +53,12 @@
     seen: list[tuple[int, str, str]] = field(default_factory=list)
 
     async def order(self, order: EngineOrder) -> bool:
-        """Returns whether the order changed what is held; raises `UpstreamError`."""
+        """
+        Returns whether the order replaced other weights; raises `UpstreamError`.
+
+        An engine without any order serves every model, so its first order
+        replaces nothing.
+        """
         await asyncio.sleep(self.delay_s)
         label = f"{order.model}:{order.adapter}:{order.version}:{order.role}"
         if self.checks_fencing and order.fence < self.holdings.fence:
@@ -76,4 +81,4 @@
                 self.loading = False
         self.holdings = wanted
         self.seen.append((order.fence, label, "done"))
-        return changed
+        return changed and bool(before.model)
