Wait until every node knows a key before process tests start

`test_planned_stop_cuts_nothing` timed out once: a key is accepted by a majority, and the third VM still refused it. The tests now wait until every node accepts the key.

--- a/packages/standins/src/damasksaddle_standins/process_fleet.py
+++ b/packages/standins/src/damasksaddle_standins/process_fleet.py
@@ -144,6 +144,16 @@
         except aiohttp.ClientError as error:
             return 0, repr(error)
 
+    async def knows(self, node: str, key: str) -> None:
+        """Waits until a node accepts a key; others than a majority may lag."""
+        headers = {"Authorization": f"Bearer {key}"}
+        url = f"{self.url(node)}/v1/models"
+        while True:
+            async with self.session.get(url, headers=headers) as response:
+                if response.status == HTTP_OK:
+                    return
+            await asyncio.sleep(RETRY_S)
+
     async def owner_of(self, key: str, program: str) -> str:
         """Returns the name of the VM that owns a program."""
         headers = {"Authorization": f"Bearer {key}"}
--- a/tests/node/test_processes.py
+++ b/tests/node/test_processes.py
@@ -32,7 +32,10 @@
         found["workspaces"]["ngo"]["max_wait_ms"] = 20_000
         assert await fleet.apply("vm0", found) == 200
         async with asyncio.timeout(LIMIT_S):
-            yield fleet, await fleet.give_key("vm0", "ngo")
+            key = await fleet.give_key("vm0", "ngo")
+            for node in fleet.nodes:
+                await fleet.knows(node, key)
+            yield fleet, key
 
 
 async def test_owner_is_killed(tmp_path):
