Count a renewal whose answer was lost from when it was sent

Cause: a renewal that found its row at a newer version extended the lease from its own start, although the version came from an earlier try whose answer was lost. Watchers had seen the row unchanged since that try.

Change: the start of each try is kept by write id, and the read-back extends the lease from the try that wrote the row.

Before: test_lost_renewal_counts_from_when_it_was_sent: lease valid until 11.0 s, while watchers may remove the VM from 7.6 s on. After: 7.0 s.

--- a/packages/node/src/damasksaddle_node/fleet/lease.py
+++ b/packages/node/src/damasksaddle_node/fleet/lease.py
@@ -39,6 +39,8 @@
         self._table = table
         self._timing = timing
         self._version = 0
+        # When the renewals were sent whose answers were lost, by write id.
+        self._tried_s: dict[str, float] = {}
 
     def first_put(self) -> Put:
         """Returns the write that creates the row together with `VmJoined`."""
@@ -75,19 +77,24 @@
             await self._table.write([put], write_id)
             self._version += 1
             self.extend(started_s)
-        except (RowTaken, AnswerLost):
-            await self._read_back(started_s)
+        except AnswerLost:
+            self._tried_s[write_id] = started_s
+            await self._read_back()
+        except RowTaken:
+            await self._read_back()
 
-    async def _read_back(self, started_s: float) -> None:
+    async def _read_back(self) -> None:
         row = await self._table.get(self._key)
         if row is None:
             self.lose()
             log.warning("Another VM ended this lease.")
             return
-        # Only this VM writes the row, so a newer version is its own lost answer.
+        # Only this VM writes the row, so a newer version is its own lost answer. The
+        # lease counts from the try that wrote it, which watchers may have seen since.
         if row.version > self._version:
             self._version = row.version
-            self.extend(started_s)
+            self.extend(self._tried_s.get(row.write_id, float("-inf")))
+            self._tried_s.clear()
 
     async def keep(self) -> None:
         """Renews three times per lease until the lease is taken."""
