End streams of a withdrawn key within 5 s on a VM that is cut off

Cause: the age of the last proof of freshness was compared every 0.5 s with 5 s, so that streams ran for up to 5.5 s after it.

Change: the comparison wakes at the bound, and stream_grace_s is 4 s, because a vouch may come from a VM that is one poll of 1 s behind.

Tested with a stream and an idle connection of the key on a VM that is connected, cut off from the table, its peers or both, or paused, at four phases of the poll (test_stream_of_a_withdrawn_key_ends).

--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -47,6 +47,7 @@
 log = get_log("node")
 
 JOIN_RETRY_S = 0.5
+GRACE_STEP_S = 0.02
 
 
 class Node(Service):
@@ -255,9 +256,11 @@
         """Ends open streams once this VM can no longer prove that it is current."""
         timing = self.settings.timing
         while True:
-            await asyncio.sleep(timing.freshness_s / 6)
-            if self.freshness.age_s() > timing.stream_grace_s:
+            left_s = timing.stream_grace_s - self.freshness.age_s()
+            if left_s <= 0:
                 self.owner.stop_all(NotFresh(not_run=NotRun.NO))
+            # Wakes at the bound, and not at the next of some longer period.
+            await asyncio.sleep(max(left_s, GRACE_STEP_S))
 
     async def _watch_membership(self) -> None:
         """Notices that this VM was removed from the roster."""
--- a/packages/node/src/damasksaddle_node/settings.py
+++ b/packages/node/src/damasksaddle_node/settings.py
@@ -14,7 +14,9 @@
 
     lease_s: float = 6.0
     freshness_s: float = 3.0
-    stream_grace_s: float = 5.0
+    # A vouch may come from a VM that is one poll behind, so that a withdrawn key's
+    # streams end within stream_grace_s + poll_s = 5 s.
+    stream_grace_s: float = 4.0
     poll_s: float = 1.0
     commit_interval_s: float = 0.05
     durable_wait_s: float = 0.5
--- a/packages/node/src/damasksaddle_node/settings_input.py
+++ b/packages/node/src/damasksaddle_node/settings_input.py
@@ -141,8 +141,8 @@
     freshness_s: Annotated[float, Field(ge=0.1, le=3)] = Field(
         3.0, description="How old the proof of freshness may be."
     )
-    stream_grace_s: Annotated[float, Field(ge=0.1, le=5)] = Field(
-        5.0, description="When a node that is not fresh ends open streams."
+    stream_grace_s: Annotated[float, Field(ge=0.1, le=4)] = Field(
+        4.0, description="When a node that is not fresh ends open streams."
     )
     poll_s: Annotated[float, Field(ge=0.02, le=3)] = Field(
         1.0, description="Time between two reads of the fleet log."
--- /dev/null
+++ b/tests/node/fleet/test_keys.py
@@ -0,0 +1,88 @@
+"""Withdrawn keys and running streams (R5, R7)."""
+
+import asyncio
+
+import pytest
+
+from damasksaddle.exceptions import Refusal
+from damasksaddle.keys import split_key
+from damasksaddle.utils import partition_of
+from damasksaddle_node.entry import CallerRequest
+from damasksaddle_node.fleet.records import KeyWithdrawn
+from damasksaddle_protocol import CallChunk
+from damasksaddle_standins import ModelEngine
+from damasksaddle_standins.fleet import LocalFleet
+
+BOUND_S = 5.0
+DOCUMENT = """
+service: desk
+pools:
+  p: {kind: model, model: m, upstreams: [{name: e, url: "http://e", failure_domain: a}]}
+routes: {chat: {pool: p}}
+workspaces:
+  ngo: {rate_per_s: 100, burst: 100}
+"""
+
+
+def chat(key: str, tokens: int, **fields) -> CallerRequest:
+    body = '{"messages": [{"role": "user", "content": "hi"}], "max_tokens": %d}'
+    return CallerRequest(key, "desk", "chat", (body % tokens).encode(), **fields)
+
+
+async def desk(fleet: LocalFleet) -> str:
+    fleet.upstreams.engines = {"http://e": ModelEngine()}
+    await fleet.apply("desk", DOCUMENT)
+    return await fleet.give_key("ngo")
+
+
+@pytest.mark.parametrize("fault", ["none", "table", "peers", "both", "pause"])
+@pytest.mark.parametrize("phase_s", [0.0, 0.3, 0.6, 0.9])
+async def test_stream_of_a_withdrawn_key_ends(fault, phase_s):
+    """Guards against a withdrawn key's streams and requests on a VM that is cut off."""
+    async with LocalFleet(5) as fleet:
+        key = await desk(fleet)
+        engine = fleet.upstreams.engines["http://e"]
+        vm = fleet.owner_of(lambda s: s.owners.partition(partition_of("ngo", "p")))
+        loop = asyncio.get_running_loop()
+        got_s: list[float] = []
+        served_s: list[float] = []
+
+        async def stream() -> None:
+            request = chat(key, 6000, program_id="p", stream=True)
+            async for answer in fleet.nodes[vm].entry.call(request):
+                if isinstance(answer, CallChunk):
+                    got_s.append(loop.time())
+
+        async def idle() -> None:
+            while True:
+                await asyncio.sleep(0.05)
+                try:
+                    fleet.nodes[vm].entry.authenticate(key)
+                    served_s.append(loop.time())
+                except Refusal:
+                    pass
+
+        tasks = [fleet.spawn(vm, stream()), fleet.spawn(vm, idle())]
+        await asyncio.sleep(7 + phase_s)
+        assert engine.seen[0].ended == "running"
+        others = [name for name in fleet.nodes if name != vm]
+        if fault in ("table", "both"):
+            fleet.table.faults.unreachable_for.add(vm)
+        if fault in ("peers", "both"):
+            fleet.network.cut_off(vm, others)
+        if fault == "pause":
+            fleet.pause(vm)
+        by = fleet.nodes[others[0]]
+        withdrawn_s = loop.time()
+        key_id = split_key(key)[0]
+        position = await by.fleet.append(lambda state: KeyWithdrawn(key_id, "op", 0))
+        assert await by.changes.confirm(position) is None
+        await asyncio.sleep(20)
+        if fault == "pause":
+            fleet.resume(vm)
+            await asyncio.sleep(2)
+        assert engine.seen[0].ended == "cancelled"
+        assert got_s[-1] - withdrawn_s <= BOUND_S
+        assert served_s[-1] - withdrawn_s <= BOUND_S
+        for task in tasks:
+            task.cancel()
