Finish streams in a planned stop while the table is down

Cause: `leave` raised TableUnavailable when VmLeaving could not be written, and the process then stopped at once and cut its streams.

Change: the VM serves on and repeats the write until the table takes it, within stop_timeout_s; the last write, VmLeft, has a bound of its own.

--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -284,18 +284,32 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + timing.stop_timeout_s
         log.info("Leaving the fleet.", vm=self.vm_id)
-        position = await self.fleet.append(lambda state: VmLeaving(self.vm_id))
-        await self.changes.confirm(position)
-        with suppress(TimeoutError):
+        try:
             async with asyncio.timeout_at(until_s):
+                await self._give_up_ownership()
                 await self.owner.close_all()
                 await asyncio.sleep(timing.hold_s)
                 while self.entry.open_calls or self.owner.runs:
                     await asyncio.sleep(0.05)
-        with suppress(PlatformError):
-            await self.fleet.append(lambda state: VmLeft(self.vm_id))
+        except TimeoutError:
+            log.warning("The planned stop took too long.", vm=self.vm_id)
+        with suppress(PlatformError, TimeoutError):
+            # Without this record, watchers remove the VM when its lease runs out.
+            async with asyncio.timeout(timing.accept_wait_s):
+                await self.fleet.append(lambda state: VmLeft(self.vm_id))
         log.info("Left the fleet.", vm=self.vm_id)
 
+    async def _give_up_ownership(self) -> None:
+        """Records that this VM leaves; serves on until the table takes the record."""
+        while True:
+            try:
+                position = await self.fleet.append(lambda state: VmLeaving(self.vm_id))
+                break
+            except PlatformError as error:
+                log.warning("The stop cannot be recorded yet.", reason=error)
+                await asyncio.sleep(JOIN_RETRY_S)
+        await self.changes.confirm(position)
+
     async def on_stop(self) -> None:
         """Stops all parts at once; `leave` comes before it in a planned stop."""
         for runner in self._runners:
--- /dev/null
+++ b/tests/node/test_leave.py
@@ -0,0 +1,53 @@
+"""A planned stop (R13)."""
+
+import asyncio
+
+import pytest
+
+from damasksaddle.utils import partition_of
+from damasksaddle_node.entry import CallerRequest
+from damasksaddle_node.settings import Timing
+from damasksaddle_standins import ModelEngine
+from damasksaddle_standins.fleet import LocalFleet
+
+TIMING = Timing(hold_s=1.0, stop_timeout_s=30.0)
+DOCUMENT = """
+service: desk
+pools:
+  p: {kind: model, model: m, upstreams: [{name: e, url: "http://e", failure_domain: a}]}
+routes: {chat: {pool: p}}
+workspaces: {ngo: {rate_per_s: 100, burst: 100}}
+"""
+
+
+@pytest.mark.parametrize("down_s", [0, 10, 100])
+async def test_stop_cuts_no_stream_and_is_bounded(down_s):
+    """Guards against a stop that cuts streams, or never ends, in a table outage."""
+    async with LocalFleet(4, TIMING) as fleet:
+        engine = ModelEngine()
+        fleet.upstreams.engines = {"http://e": engine}
+        await fleet.apply("desk", DOCUMENT)
+        key = await fleet.give_key("ngo")
+        vm = fleet.owner_of(lambda s: s.owners.partition(partition_of("ngo", "p")))
+        body = b'{"messages": [{"role": "user", "content": "hi"}], "max_tokens": 600}'
+        entries = list(fleet.nodes)
+        calls = [
+            asyncio.create_task(
+                fleet.call(
+                    name, CallerRequest(key, "desk", "chat", body, program_id="p")
+                )
+            )
+            for name in entries[:3]
+        ]
+        await asyncio.sleep(1)
+        fleet.table.faults.down = down_s > 0
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        loop.call_later(down_s, setattr, fleet.table.faults, "down", False)
+        await fleet.leave(vm)
+        took_s = loop.time() - started_s
+        assert took_s <= TIMING.stop_timeout_s + TIMING.accept_wait_s
+        await asyncio.gather(*calls)
+        assert [(call.tokens, call.ended) for call in engine.seen] == [
+            (600, "finished")
+        ] * 3
