--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -50,6 +50,7 @@
 # A planned stop has ended all requests before; others are cut after this time.
 SHUTDOWN_TIMEOUT_S = 1.0
 LEFT_TIMEOUT_S = 2.0
+GRACE_STEP_S = 0.02
 
 
 class Node(Service):
@@ -276,9 +277,11 @@
         """Ends open streams once this VM can no longer prove that it is current."""
         timing = self.settings.timing
         while True:
-            await asyncio.sleep(timing.freshness_s / 6)
-            if self.freshness.age_s() > timing.stream_grace_s:
+            left_s = timing.stream_grace_s - self.freshness.age_s()
+            if left_s <= 0:
                 self.owner.stop_all(NotFresh(not_run=NotRun.NO))
+            # Wakes at the bound, and not at the next of some longer period.
+            await asyncio.sleep(max(left_s, GRACE_STEP_S))
 
     async def _watch_membership(self) -> None:
         """Notices that this VM was removed from the roster."""
@@ -302,23 +305,39 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + timing.stop_timeout_s
         log.info("Leaving the fleet.", vm=self.vm_id)
-        position = await self.fleet.append(lambda state: VmLeaving(self.vm_id))
-        await self.changes.confirm(position)
-        with suppress(TimeoutError):
+        try:
             async with asyncio.timeout_at(until_s):
+                await self._give_up_ownership()
                 await self.owner.close_all()
                 await asyncio.sleep(timing.hold_s)
                 while self.entry.open_calls or self.owner.runs:
                     await asyncio.sleep(0.05)
+        except TimeoutError:
+            log.warning("The planned stop took too long.", vm=self.vm_id)
         await self.left()
         log.info("Left the fleet.", vm=self.vm_id)
 
     async def left(self) -> None:
-        """Tells the fleet that this VM acts no more, if the table can be written."""
+        """
+        Tells the fleet that this VM acts no more, if the table can be written.
+
+        Without this record, watchers remove the VM when its lease runs out.
+        """
         with suppress(PlatformError, TimeoutError):
             async with asyncio.timeout(LEFT_TIMEOUT_S):
                 await self.fleet.append(lambda state: VmLeft(self.vm_id))
 
+    async def _give_up_ownership(self) -> None:
+        """Records that this VM leaves; serves on until the table takes the record."""
+        while True:
+            try:
+                position = await self.fleet.append(lambda state: VmLeaving(self.vm_id))
+                break
+            except PlatformError as error:
+                log.warning("The stop cannot be recorded yet.", reason=error)
+                await asyncio.sleep(JOIN_RETRY_S)
+        await self.changes.confirm(position)
+
     async def on_stop(self) -> None:
         """Stops all parts at once; `leave` comes before it in a planned stop."""
         for runner in self._runners:
