Drop ended programs and old answers from memory

Cause: owners kept every program, call and record id for good, so memory grew with each call. Older sealed records are refused.

--- a/packages/node/src/damasksaddle_node/programs/engines.py
+++ b/packages/node/src/damasksaddle_node/programs/engines.py
@@ -4,7 +4,7 @@
 
 from damasksaddle.config import RouteKind
 from damasksaddle.exceptions import UpstreamError
-from damasksaddle.utils import get_log, new_id
+from damasksaddle.utils import get_log, new_id, unix_s
 from damasksaddle_node.programs.context import Services
 from damasksaddle_node.programs.partition import Partition
 from damasksaddle_node.programs.records import (
@@ -25,7 +25,7 @@
 def finished(program: Program, reason: str) -> ProgramFinished:
     """Returns the record of a program's end."""
     return ProgramFinished(
-        new_id("record"), program.workspace, program.program_id, reason
+        new_id("record"), program.workspace, program.program_id, reason, unix_s()
     )
 
 
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -1,6 +1,7 @@
 """The programs that this VM owns."""
 
 import asyncio
+import itertools
 import json
 from collections.abc import AsyncGenerator
 from contextlib import aclosing, suppress
@@ -8,6 +9,7 @@
 from typing import Any
 
 from damasksaddle.exceptions import (
+    BadRequest,
     CallNotFound,
     EpochStale,
     FateUnknown,
@@ -44,7 +46,13 @@
 )
 from damasksaddle_node.programs.run import CallRun
 from damasksaddle_node.programs.settle import Settler
-from damasksaddle_node.programs.state import PartitionState, Program, root_of
+from damasksaddle_node.programs.state import (
+    ANSWER_RETENTION_S,
+    SINGLE_CALL,
+    PartitionState,
+    Program,
+    root_of,
+)
 from damasksaddle_protocol import (
     CallChunk,
     CallEnd,
@@ -61,6 +69,8 @@
 OPEN_TRIES = 20
 HANDOVER_TIMEOUT_S = 120.0
 TEND_PERIOD_S = 1.0
+# Expiry looks at every stored answer, so it runs less often.
+EXPIRE_EVERY = 10
 # A query for one call; the call id or idempotency key follows.
 CALL_ACTION = "call:"
 
@@ -123,7 +133,15 @@
         """Returns the records that the caller kept; raises `BadRequest`."""
         if not call.sealed:
             return []
-        return self._services.sealer.open(call.workspace, call.program_id, call.sealed)
+        records = self._services.sealer.open(
+            call.workspace, call.program_id, call.sealed
+        )
+        oldest_unix_s = unix_s() - ANSWER_RETENTION_S
+        for record in records:
+            # Its call ids may be forgotten, so that it could count twice.
+            if isinstance(record, CallFinished) and record.at_unix_s < oldest_unix_s:
+                raise BadRequest("the sealed record is too old")
+        return records
 
     def _program(
         self, partition: Partition, call: CallRequest, sealed: list[ProgramRecord]
@@ -133,7 +151,12 @@
         if started:
             partition.replay(started[0])
         key = (call.workspace, call.program_id)
-        if key not in partition.state.programs:
+        state = partition.state
+        if key in state.ended or key not in state.programs:
+            known = self._dropped(state, call)
+            if known is not None:
+                return known
+        if key not in state.programs:
             document = self._fleet.state.document(call.service)
             assert document is not None
             budget = document.program.budget_micros
@@ -159,6 +182,21 @@
             raise ProgramEnded(f"the root program has ended: {root.ended}")
         return program
 
+    def _dropped(self, state: PartitionState, call: CallRequest) -> Program | None:
+        """Returns what stands for a program that ended and was dropped, if any."""
+        key = (call.workspace, call.program_id)
+        scope = (
+            call.workspace,
+            root_of(call.program_id),
+            call.idempotency_key or call.call_id,
+        )
+        end = state.ended.get(key)
+        if end is None and not state.knows_key(scope):
+            return None
+        program = Program(*key, call.service, 0)
+        program.ended = end.reason if end else SINGLE_CALL
+        return program
+
     # Partitions.
 
     async def partition(self, workspace: str, program_id: str) -> Partition:
@@ -297,7 +335,13 @@
                 await self._start(partition, message)
             program = partition.state.programs.get(key)
             if program is None:
-                raise ProgramNotFound
+                end = partition.state.ended.get(key)
+                if end is None:
+                    raise ProgramNotFound
+                # Its history was dropped; that it ended is kept for longer.
+                body = dict(zip(("workspace", "program_id"), key, strict=True))
+                body |= {"ended": end.reason, "dropped": True}
+                return ProgramAnswer(json.dumps(body).encode())
             if message.action == "end":
                 body = await self._end(partition, program)
             else:
@@ -354,12 +398,16 @@
 
     async def tend(self) -> None:
         """Ends idle programs and frees the engine memory of ended ones."""
-        while True:
+        for number in itertools.count():
             await asyncio.sleep(TEND_PERIOD_S)
+            expire = number % EXPIRE_EVERY == 0
             held = [p for p in self.partitions.values() if not p.lost]
             for partition in held:
                 if not partition.draining:
                     self._engines.end_idle(partition)
+                # Records on their way are told from durable ones by identity.
+                if expire and not partition.waiting:
+                    partition.state.expire(unix_s())
             await asyncio.gather(*(self._engines.release(p) for p in held))
 
 
--- a/packages/node/src/damasksaddle_node/programs/records.py
+++ b/packages/node/src/damasksaddle_node/programs/records.py
@@ -109,6 +109,7 @@
     workspace: str
     program_id: str
     reason: str
+    at_unix_s: int = 0
     kind: Literal["program_finished"] = "program_finished"
 
 
--- a/packages/node/src/damasksaddle_node/programs/run.py
+++ b/packages/node/src/damasksaddle_node/programs/run.py
@@ -22,11 +22,12 @@
 from damasksaddle.utils import Timing, get_log, measure, new_id
 from damasksaddle_node.programs.budget import reserve, settle
 from damasksaddle_node.programs.context import MS, CallContext
+from damasksaddle_node.programs.engines import finished
 from damasksaddle_node.programs.model import ModelCall
 from damasksaddle_node.programs.outcome import call_end, wait_durable
 from damasksaddle_node.programs.plain import PlainCall
-from damasksaddle_node.programs.records import CallFinished, Outcome, ProgramFinished
-from damasksaddle_node.programs.state import root_of
+from damasksaddle_node.programs.records import CallFinished, Outcome
+from damasksaddle_node.programs.state import SINGLE_CALL, root_of
 from damasksaddle_protocol import CallChunk, CallEnd, CallRequest
 
 log = get_log("programs")
@@ -135,7 +136,7 @@
         context.interruptible = False
         context.partition.add(record)
         if self.call.end_program:
-            self._end_program()
+            context.partition.add(finished(context.program, SINGLE_CALL))
         return record
 
     def _retry_scope(self) -> tuple[str, str, str]:
@@ -209,12 +210,3 @@
             return await run.run(amount_micros)
         finally:
             settle(account, amount_micros)
-
-    def _end_program(self) -> None:
-        record = ProgramFinished(
-            new_id("record"),
-            self.call.workspace,
-            self._context.program.program_id,
-            "single call",
-        )
-        self._context.partition.add(record)
--- a/packages/node/src/damasksaddle_node/programs/settle.py
+++ b/packages/node/src/damasksaddle_node/programs/settle.py
@@ -50,7 +50,9 @@
     async def _ask(
         self, partition: Partition, record: CallFinished, not_seen: set[str]
     ) -> None:
-        program = partition.state.programs[(record.workspace, record.program_id)]
+        program = partition.state.programs.get((record.workspace, record.program_id))
+        if program is None:
+            return
         document = self._services.fleet.state.document(program.service)
         route = document.routes.get(record.route) if document else None
         if document is None or route is None or not route.outcome_path:
