--- a/packages/node/src/damasksaddle_node/commit/__init__.py
+++ b/packages/node/src/damasksaddle_node/commit/__init__.py
@@ -2,9 +2,16 @@
 
 from damasksaddle_node.commit.client import CommitClient
 from damasksaddle_node.commit.committer import Committers
-from damasksaddle_node.commit.rows import Entry, EntryKind, StreamRow, load_row
+from damasksaddle_node.commit.rows import (
+    SNAPSHOT_MARK,
+    Entry,
+    EntryKind,
+    StreamRow,
+    load_row,
+)
 
 __all__ = [
+    "SNAPSHOT_MARK",
     "CommitClient",
     "Committers",
     "Entry",
--- a/packages/node/src/damasksaddle_node/commit/client.py
+++ b/packages/node/src/damasksaddle_node/commit/client.py
@@ -11,7 +11,8 @@
 )
 from damasksaddle.platform import RowSequence, Table
 from damasksaddle.utils import get_log
-from damasksaddle_node.commit.rows import Entry, load_row
+from damasksaddle_node.commit.committer import HOLDERS_EVERY
+from damasksaddle_node.commit.rows import Entry, EntryKind, load_row
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.peers import PeerPool
 from damasksaddle_node.settings import Timing
@@ -81,6 +82,27 @@
                 log.debug("An append is repeated.", partition=partition, reason=error)
             await asyncio.sleep(retry_s)
 
+    async def snapshot_by(self, partition: int, opened_at: int) -> int:
+        """
+        Returns which holder wrote the newest snapshot before a position.
+
+        It is named by the position at which it opened the partition; 0 if there is
+        no snapshot. Reads the row with the holders and those after it.
+        """
+        rows = RowSequence(self._table, f"stream/{partition % self._streams}")
+        checkpoint = (opened_at - 1) - (opened_at - 1) % HOLDERS_EVERY
+        snapshot_by = 0
+        row = await rows.read(checkpoint) if checkpoint else None
+        if row is not None:
+            holder = (load_row(row.value).holders or {}).get(partition)
+            if holder is not None:
+                snapshot_by = holder.snapshot_by
+        after = max(checkpoint - 1, 0)
+        async for entry in self.entries(partition, after, opened_at):
+            if entry.kind is EntryKind.SNAPSHOT:
+                snapshot_by = int(entry.records[1])
+        return snapshot_by
+
     async def entries(
         self, partition: int, after: int, until: int
     ) -> AsyncGenerator[Entry, None]:
--- a/packages/node/src/damasksaddle_node/commit/committer.py
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from damasksaddle.exceptions import (
     EpochStale,
@@ -23,6 +23,7 @@
 from damasksaddle.utils import Counter, count, get_log, measure, new_id
 from damasksaddle.utils import Timing as Measured
 from damasksaddle_node.commit.rows import (
+    SNAPSHOT_MARK,
     Entry,
     EntryKind,
     Holder,
@@ -60,6 +61,8 @@
             return EntryKind.OPENED
         if not self.message.records:
             return EntryKind.CLOSED
+        if self.message.records[0] == SNAPSHOT_MARK:
+            return EntryKind.SNAPSHOT
         return EntryKind.RECORDS
 
     @property
@@ -177,11 +180,18 @@
         if row.holders is not None:
             self.holders = dict(row.holders)
         for entry in row.entries:
+            known = self.holders.get(entry.partition)
+            snapshot_by = known.snapshot_by if known else 0
             match entry.kind:
                 case EntryKind.OPENED:
-                    self.holders[entry.partition] = Holder(entry.vm_id, position)
+                    holder = Holder(entry.vm_id, position, snapshot_by)
+                    self.holders[entry.partition] = holder
                 case EntryKind.CLOSED:
-                    self.holders[entry.partition] = Holder(NOBODY, position)
+                    holder = Holder(NOBODY, position, snapshot_by)
+                    self.holders[entry.partition] = holder
+                case EntryKind.SNAPSHOT if known is not None:
+                    holder = replace(known, snapshot_by=int(entry.records[1]))
+                    self.holders[entry.partition] = holder
 
     def _admit(self) -> list[_Item]:
         batch: list[_Item] = []
@@ -200,7 +210,7 @@
             except Refusal as error:
                 item.fail(error)
                 continue
-            if item.kind is not EntryKind.RECORDS:
+            if item.kind in (EntryKind.OPENED, EntryKind.CLOSED):
                 opened.add(item.message.partition)
             size_bytes += item.size_bytes
             batch.append(item)
@@ -222,7 +232,10 @@
                 and holder.vm_id in state.members
             ):
                 raise PartitionHeld(holder.vm_id)
-        elif holder != Holder(item.sender.vm_id, item.message.opened_at):
+        elif holder is None or (holder.vm_id, holder.opened_at) != (
+            item.sender.vm_id,
+            item.message.opened_at,
+        ):
             raise NotOwner
 
     async def _write(self, batch: list[_Item]) -> None:
--- a/packages/node/src/damasksaddle_node/commit/rows.py
+++ b/packages/node/src/damasksaddle_node/commit/rows.py
@@ -12,6 +12,7 @@
     OPENED = "opened"
     CLOSED = "closed"
     RECORDS = "records"
+    SNAPSHOT = "snapshot"
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,12 +25,23 @@
     records: list[str]
 
 
+# The first record of an entry that points to a snapshot of its partition; the second
+# is the position at which the snapshot's writer opened the partition.
+SNAPSHOT_MARK = "snapshot"
+
+
 @dataclass(frozen=True, slots=True)
 class Holder:
-    """The VM that may append for a partition, and where it opened it."""
+    """
+    The VM that may append for a partition, and where it opened it.
+
+    `snapshot_by` is the opening position of the holder that wrote the partition's
+    newest snapshot, 0 if there is none.
+    """
 
     vm_id: str
     opened_at: int
+    snapshot_by: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -127,6 +127,7 @@
             ),
             self.peers,
             CommitClient(table, self.fleet, self.peers, settings.streams, timing),
+            objects,
         )
         self.entry = Entry(self.fleet, self.freshness, self.peers, timing)
         for part in (
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -28,8 +28,9 @@
     Stopping,
     StoreUnavailable,
 )
+from damasksaddle.platform import Objects
 from damasksaddle.utils import Counter, count, get_log, new_id, partition_of, unix_s
-from damasksaddle_node.commit import CommitClient, EntryKind
+from damasksaddle_node.commit import SNAPSHOT_MARK, CommitClient, EntryKind
 from damasksaddle_node.fleet.records import FleetRecord, KeyWithdrawn
 from damasksaddle_node.peers import Handlers, PeerPool, Sender
 from damasksaddle_node.programs.context import CallContext, Services
@@ -46,6 +47,12 @@
 )
 from damasksaddle_node.programs.run import CallRun
 from damasksaddle_node.programs.settle import Settler
+from damasksaddle_node.programs.snapshot import (
+    SNAPSHOT_RECORDS,
+    dump_snapshot,
+    load_snapshot,
+    snapshot_key,
+)
 from damasksaddle_node.programs.state import (
     ANSWER_RETENTION_S,
     SINGLE_CALL,
@@ -79,7 +86,11 @@
     """Runs the calls of the programs in the partitions that this VM owns."""
 
     def __init__(
-        self, services: Services, peers: PeerPool, commits: CommitClient
+        self,
+        services: Services,
+        peers: PeerPool,
+        commits: CommitClient,
+        objects: Objects,
     ) -> None:
         self.partitions: dict[int, Partition] = {}
         self.runs: set[CallRun] = set()
@@ -87,6 +98,7 @@
         self._fleet = services.fleet
         self._peers = peers
         self._commits = commits
+        self._objects = objects
         self._settler = Settler(services)
         self._engines = EngineMemory(services)
         self._opening: dict[int, asyncio.Lock] = {}
@@ -225,16 +237,24 @@
 
     async def _open(self, number: int) -> Partition:
         opened_at = await self._append_opened(number)
-        state = PartitionState()
+        state, position, tail = PartitionState(), 0, 0
         try:
-            orphaned = False
-            async for entry in self._commits.entries(number, 0, opened_at):
+            writer = await self._commits.snapshot_by(number, opened_at)
+            if writer:
+                data = await self._objects.get(snapshot_key(number, writer))
+                position, state = load_snapshot(data)
+            orphaned = writer > 0
+            async for entry in self._commits.entries(number, position, opened_at):
                 orphaned = entry.kind is not EntryKind.CLOSED
+                if entry.kind is not EntryKind.RECORDS:
+                    continue
+                tail += len(entry.records)
                 for text in entry.records:
                     state.apply(load_program_record(text))
         except PlatformError as error:
             raise StoreUnavailable(retry_after_s=1.0) from error
         partition = Partition(number, opened_at, state, self._commits, orphaned)
+        partition.position, partition.tail_records = opened_at, tail
         for intent in list(state.intents.values()):
             partition.add(_unknown(intent, state))
         if orphaned:
@@ -396,6 +416,29 @@
             await asyncio.wait([waiting.done], timeout=wait_s)
         return describe(partition, program, explain=False)
 
+    async def _snapshot(self, partition: Partition) -> None:
+        """Writes a snapshot, unless records are on their way."""
+        if partition.snapshotting or partition.waiting or partition.lost:
+            return
+        partition.snapshotting = True
+        covered = partition.tail_records
+        data = dump_snapshot(partition.state, partition.position)
+        key = snapshot_key(partition.number, partition.opened_at)
+        try:
+            await self._objects.put(key, data)
+            await self._commits.append_until_known(
+                partition.number,
+                [SNAPSHOT_MARK, str(partition.opened_at)],
+                partition.opened_at,
+            )
+            partition.tail_records -= covered
+        except (PlatformError, NotOwner) as error:
+            log.warning(
+                "A snapshot was not written.", partition=partition.number, reason=error
+            )
+        finally:
+            partition.snapshotting = False
+
     async def tend(self) -> None:
         """Ends idle programs and frees the engine memory of ended ones."""
         for number in itertools.count():
@@ -405,6 +448,8 @@
             for partition in held:
                 if not partition.draining:
                     self._engines.end_idle(partition)
+                if partition.tail_records >= SNAPSHOT_RECORDS:
+                    self._spawn(self._snapshot(partition))
                 # Records on their way are told from durable ones by identity.
                 if expire and not partition.waiting:
                     partition.state.expire(unix_s())
--- a/packages/node/src/damasksaddle_node/programs/partition.py
+++ b/packages/node/src/damasksaddle_node/programs/partition.py
@@ -38,7 +38,8 @@
 
     Records are applied to the state at once and become durable in order, in the
     background; `opened_at` fences them. `orphaned` tells that the holder before did
-    not close the partition, and `since_s` when this VM opened it.
+    not close the partition, and `since_s` when this VM opened it. `position` is that
+    of the last durable record, and `tail_records` counts those since the snapshot.
     """
 
     number: int
@@ -49,6 +50,9 @@
     lost: bool = False
     draining: bool = False
     running: int = 0
+    position: int = 0
+    tail_records: int = 0
+    snapshotting: bool = False
     since_s: float = field(default_factory=lambda: asyncio.get_running_loop().time())
     waiting: list[Waiting] = field(default_factory=list)
     _key_locks: WeakValueDictionary[tuple[str, ...], asyncio.Lock] = field(
@@ -131,6 +135,8 @@
                 self.lose(error)
                 return
             del self.waiting[: len(batch)]
+            self.position = position
+            self.tail_records += len(batch)
             for item in batch:
                 if not item.done.done():
                     item.done.set_result(position)
--- /dev/null
+++ b/tests/node/programs/test_snapshot.py
@@ -0,0 +1,96 @@
+"""Takeover from a snapshot and a short tail."""
+
+import asyncio
+
+import pytest
+
+from damasksaddle.utils import partition_of
+from damasksaddle_node.commit import client, committer
+from damasksaddle_node.programs import owner, snapshot
+
+
+@pytest.fixture(autouse=True)
+def frequent_snapshots(monkeypatch):
+    """Writes snapshots often, so that a session stays short."""
+    monkeypatch.setattr(owner, "SNAPSHOT_RECORDS", 4)
+    for module in (client, committer):
+        monkeypatch.setattr(module, "HOLDERS_EVERY", 8)
+
+
+async def fill(s):
+    """Makes a program with all that a snapshot must carry."""
+    await s.ask("chat", "one", "p1", idempotency_key="k1")
+    await s.ask("file", "report", "p1", idempotency_key="k2")
+    s.tool.lose_answers = 1
+    await s.ask("file", "lost", "p1", idempotency_key="k3")
+    await s.ask("chat", "sub", "p1/a")
+    await s.ask("chat", "two", "p1", tokens=40)
+    await asyncio.sleep(8)
+
+
+def covered_rows(s):
+    """Returns the keys of the rows that the program's snapshot covers."""
+    number = partition_of("ngo", "p1")
+    rows = sorted(
+        k for k in s.fleet.table.rows if k.startswith(f"stream/{number % 4}/")
+    )
+    marks = [k for k in rows if '"snapshot"' in s.fleet.table.rows[k].value]
+    position, _ = snapshot.load_snapshot(
+        max(s.fleet.objects.objects.items(), key=lambda item: len(item[1]))[1]
+    )
+    assert marks
+    return [k for k in rows if int(k[-12:]) <= position]
+
+
+async def test_takeover_needs_only_snapshot_and_tail(session, snapshot):
+    """Guards against a takeover that reads more than the snapshot and its tail."""
+    async with session(6) as s:
+        await fill(s)
+        await s.ask("chat", "three", "p1")
+        before = await s.read("p1")
+        covered = covered_rows(s)
+        assert len(covered) > 4
+        for key in covered:
+            del s.fleet.table.rows[key]
+        await s.fleet.kill(s.owner("p1"))
+        await asyncio.sleep(15)
+        after = await s.read("p1")
+        for name in ("messages", "spent_micros", "reserved_micros", "turns"):
+            assert after[name] == before[name], name
+        await s.ask("file", "report", "p1", idempotency_key="k2")
+        await s.ask("file", "lost", "p1", idempotency_key="k3")
+        await s.ask("file", "other", "p1", idempotency_key="k1")
+        await s.ask("chat", "four", "p1")
+        assert s.text() == snapshot
+
+
+async def test_takeovers_follow_each_other(session):
+    """Guards against a takeover from an older snapshot than the newest."""
+    async with session(7) as s:
+        await fill(s)
+        for number in range(3):
+            for turn in range(3):
+                await s.ask("chat", f"round {number} turn {turn}", "p1")
+            await asyncio.sleep(3)
+            before = await s.read("p1")
+            await s.fleet.kill(s.owner("p1"))
+            await asyncio.sleep(15)
+            after = await s.read("p1")
+            assert after["messages"] == before["messages"]
+            assert after["spent_micros"] == before["spent_micros"]
+
+
+async def test_object_store_is_down(session):
+    """Guards against an empty history when the snapshot cannot be read."""
+    async with session(6) as s:
+        await fill(s)
+        s.fleet.objects.down = True
+        await s.fleet.kill(s.owner("p1"))
+        await asyncio.sleep(15)
+        refused = await s.ask("chat", "no snapshot", "p1")
+        assert refused.code == "store_unavailable"
+        s.fleet.objects.down = False
+        await asyncio.sleep(3)
+        await s.ask("chat", "back", "p1")
+        prompts = [c.prompt for e in s.engines for c in e.seen]
+        assert any(p.startswith("one") and p.endswith("back") for p in prompts)
