--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -1,6 +1,7 @@
 """The programs that this VM owns."""
 
 import asyncio
+import itertools
 import json
 from collections.abc import AsyncGenerator
 from contextlib import aclosing, suppress
@@ -8,6 +9,7 @@
 from typing import Any
 
 from damasksaddle.exceptions import (
+    BadRequest,
     CallNotFound,
     EpochStale,
     FateUnknown,
@@ -26,8 +28,9 @@
     Stopping,
     StoreUnavailable,
 )
+from damasksaddle.platform import Objects
 from damasksaddle.utils import Counter, count, get_log, new_id, partition_of, unix_s
-from damasksaddle_node.commit import CommitClient, EntryKind
+from damasksaddle_node.commit import SNAPSHOT_MARK, CommitClient, EntryKind
 from damasksaddle_node.fleet.records import FleetRecord, KeyWithdrawn
 from damasksaddle_node.peers import Handlers, PeerPool, Sender
 from damasksaddle_node.programs.context import CallContext, Services
@@ -44,7 +47,19 @@
 )
 from damasksaddle_node.programs.run import CallRun
 from damasksaddle_node.programs.settle import Settler
-from damasksaddle_node.programs.state import PartitionState, Program, root_of
+from damasksaddle_node.programs.snapshot import (
+    SNAPSHOT_RECORDS,
+    dump_snapshot,
+    load_snapshot,
+    snapshot_key,
+)
+from damasksaddle_node.programs.state import (
+    ANSWER_RETENTION_S,
+    SINGLE_CALL,
+    PartitionState,
+    Program,
+    root_of,
+)
 from damasksaddle_protocol import (
     CallChunk,
     CallEnd,
@@ -61,6 +76,8 @@
 OPEN_TRIES = 20
 HANDOVER_TIMEOUT_S = 120.0
 TEND_PERIOD_S = 1.0
+# Expiry looks at every stored answer, so it runs less often.
+EXPIRE_EVERY = 10
 # A query for one call; the call id or idempotency key follows.
 CALL_ACTION = "call:"
 
@@ -69,7 +86,11 @@
     """Runs the calls of the programs in the partitions that this VM owns."""
 
     def __init__(
-        self, services: Services, peers: PeerPool, commits: CommitClient
+        self,
+        services: Services,
+        peers: PeerPool,
+        commits: CommitClient,
+        objects: Objects,
     ) -> None:
         self.partitions: dict[int, Partition] = {}
         self.runs: set[CallRun] = set()
@@ -77,6 +98,7 @@
         self._fleet = services.fleet
         self._peers = peers
         self._commits = commits
+        self._objects = objects
         self._settler = Settler(services)
         self._engines = EngineMemory(services)
         self._opening: dict[int, asyncio.Lock] = {}
@@ -123,7 +145,15 @@
         """Returns the records that the caller kept; raises `BadRequest`."""
         if not call.sealed:
             return []
-        return self._services.sealer.open(call.workspace, call.program_id, call.sealed)
+        records = self._services.sealer.open(
+            call.workspace, call.program_id, call.sealed
+        )
+        oldest_unix_s = unix_s() - ANSWER_RETENTION_S
+        for record in records:
+            # Its call ids may be forgotten, so that it could count twice.
+            if isinstance(record, CallFinished) and record.at_unix_s < oldest_unix_s:
+                raise BadRequest("the sealed record is too old")
+        return records
 
     def _program(
         self, partition: Partition, call: CallRequest, sealed: list[ProgramRecord]
@@ -133,7 +163,12 @@
         if started:
             partition.replay(started[0])
         key = (call.workspace, call.program_id)
-        if key not in partition.state.programs:
+        state = partition.state
+        if key in state.ended or key not in state.programs:
+            known = self._dropped(state, call)
+            if known is not None:
+                return known
+        if key not in state.programs:
             document = self._fleet.state.document(call.service)
             assert document is not None
             budget = document.program.budget_micros
@@ -159,6 +194,21 @@
             raise ProgramEnded(f"the root program has ended: {root.ended}")
         return program
 
+    def _dropped(self, state: PartitionState, call: CallRequest) -> Program | None:
+        """Returns what stands for a program that ended and was dropped, if any."""
+        key = (call.workspace, call.program_id)
+        scope = (
+            call.workspace,
+            root_of(call.program_id),
+            call.idempotency_key or call.call_id,
+        )
+        end = state.ended.get(key)
+        if end is None and not state.knows_key(scope):
+            return None
+        program = Program(*key, call.service, 0)
+        program.ended = end.reason if end else SINGLE_CALL
+        return program
+
     # Partitions.
 
     async def partition(self, workspace: str, program_id: str) -> Partition:
@@ -187,16 +237,24 @@
 
     async def _open(self, number: int) -> Partition:
         opened_at = await self._append_opened(number)
-        state = PartitionState()
+        state, position, tail = PartitionState(), 0, 0
         try:
-            orphaned = False
-            async for entry in self._commits.entries(number, 0, opened_at):
+            writer = await self._commits.snapshot_by(number, opened_at)
+            if writer:
+                data = await self._objects.get(snapshot_key(number, writer))
+                position, state = load_snapshot(data)
+            orphaned = writer > 0
+            async for entry in self._commits.entries(number, position, opened_at):
                 orphaned = entry.kind is not EntryKind.CLOSED
+                if entry.kind is not EntryKind.RECORDS:
+                    continue
+                tail += len(entry.records)
                 for text in entry.records:
                     state.apply(load_program_record(text))
         except PlatformError as error:
             raise StoreUnavailable(retry_after_s=1.0) from error
         partition = Partition(number, opened_at, state, self._commits, orphaned)
+        partition.position, partition.tail_records = opened_at, tail
         for intent in list(state.intents.values()):
             partition.add(_unknown(intent, state))
         if orphaned:
@@ -297,7 +355,13 @@
                 await self._start(partition, message)
             program = partition.state.programs.get(key)
             if program is None:
-                raise ProgramNotFound
+                end = partition.state.ended.get(key)
+                if end is None:
+                    raise ProgramNotFound
+                # Its history was dropped; that it ended is kept for longer.
+                body = dict(zip(("workspace", "program_id"), key, strict=True))
+                body |= {"ended": end.reason, "dropped": True}
+                return ProgramAnswer(json.dumps(body).encode())
             if message.action == "end":
                 body = await self._end(partition, program)
             else:
@@ -352,14 +416,43 @@
             await asyncio.wait([waiting.done], timeout=wait_s)
         return describe(partition, program, explain=False)
 
+    async def _snapshot(self, partition: Partition) -> None:
+        """Writes a snapshot, unless records are on their way."""
+        if partition.snapshotting or partition.waiting or partition.lost:
+            return
+        partition.snapshotting = True
+        covered = partition.tail_records
+        data = dump_snapshot(partition.state, partition.position)
+        key = snapshot_key(partition.number, partition.opened_at)
+        try:
+            await self._objects.put(key, data)
+            await self._commits.append_until_known(
+                partition.number,
+                [SNAPSHOT_MARK, str(partition.opened_at)],
+                partition.opened_at,
+            )
+            partition.tail_records -= covered
+        except (PlatformError, NotOwner) as error:
+            log.warning(
+                "A snapshot was not written.", partition=partition.number, reason=error
+            )
+        finally:
+            partition.snapshotting = False
+
     async def tend(self) -> None:
         """Ends idle programs and frees the engine memory of ended ones."""
-        while True:
+        for number in itertools.count():
             await asyncio.sleep(TEND_PERIOD_S)
+            expire = number % EXPIRE_EVERY == 0
             held = [p for p in self.partitions.values() if not p.lost]
             for partition in held:
                 if not partition.draining:
                     self._engines.end_idle(partition)
+                if partition.tail_records >= SNAPSHOT_RECORDS:
+                    self._spawn(self._snapshot(partition))
+                # Records on their way are told from durable ones by identity.
+                if expire and not partition.waiting:
+                    partition.state.expire(unix_s())
             await asyncio.gather(*(self._engines.release(p) for p in held))
 
 
