--- a/packages/standins/src/damasksaddle_standins/costs.py
+++ b/packages/standins/src/damasksaddle_standins/costs.py
@@ -23,6 +23,13 @@
 from damasksaddle_node.fleet.records import KeyGiven, VmJoined, dump_record, load_record
 from damasksaddle_node.fleet.state import FleetState
 from damasksaddle_node.limits import Bucket
+from damasksaddle_node.peers import (
+    Handlers,
+    PeerPool,
+    PeerServer,
+    Sender,
+    TcpNetwork,
+)
 from damasksaddle_node.programs.records import (
     CallFinished,
     Outcome,
@@ -34,6 +41,7 @@
 from damasksaddle_node.programs.state import PartitionState
 from damasksaddle_protocol import (
     Acquire,
+    Acquired,
     Finish,
     Frame,
     Message,
@@ -46,6 +54,7 @@
 MICRO = 1e6
 WORDS_PER_TURN = 300
 REPEATS = 3
+SECRET = "fleet secret of the measurement"
 
 
 @dataclass(frozen=True, slots=True)
@@ -248,6 +257,31 @@
     return Cost("bucket, take a token", "us", [1], [spent_us])
 
 
+async def _round_trip() -> Cost:
+    """Measures a request and its answer over TCP, with both ends in this process."""
+    handlers = Handlers()
+
+    async def on_acquire(message: Acquire, sender: Sender) -> Acquired:
+        return Acquired(0)
+
+    handlers.add(Acquire, on_acquire)
+    server = PeerServer("vm-b", SECRET, TcpNetwork(), handlers, lambda: 1)
+    await server.start("127.0.0.1", 0)
+    pool = PeerPool(
+        "vm-a", SECRET, TcpNetwork(), handlers, lambda _: server.address, lambda: 1, 1.0
+    )
+    count = 3000
+    request = Acquire("workspace-1", 2000)
+    await pool.request("vm-b", request, 2.0)
+    started_s = time.process_time()
+    for _ in range(count):
+        await pool.request("vm-b", request, 2.0)
+    spent_us = (time.process_time() - started_s) / count * MICRO
+    pool.close()
+    await server.stop()
+    return Cost("request and answer between nodes, both ends", "us", [1], [spent_us])
+
+
 def measure() -> list[Cost]:
     """Measures all operations."""
     return [
@@ -256,6 +290,7 @@
         *_records(),
         _document(),
         asyncio.run(_bucket()),
+        asyncio.run(_round_trip()),
         _fleet_memory(),
         _program_memory(),
     ]
