--- a/packages/node/src/damasksaddle_node/commit/__init__.py
+++ b/packages/node/src/damasksaddle_node/commit/__init__.py
@@ -9,8 +9,10 @@
     StreamRow,
     load_row,
 )
+from damasksaddle_node.commit.truncate import Archive
 
 __all__ = [
+    "Archive",
     "SNAPSHOT_MARK",
     "CommitClient",
     "Committers",
--- a/packages/node/src/damasksaddle_node/commit/committer.py
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -19,7 +19,7 @@
     Refusal,
     StoreUnavailable,
 )
-from damasksaddle.platform import RowSequence, Table
+from damasksaddle.platform import Objects, RowSequence, Table
 from damasksaddle.utils import Counter, count, get_log, measure, new_id
 from damasksaddle.utils import Timing as Measured
 from damasksaddle_node.commit.rows import (
@@ -31,6 +31,7 @@
     dump_row,
     load_row,
 )
+from damasksaddle_node.commit.truncate import BLOCK_ROWS, Archive
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.peers import Handlers, PeerPool, Sender
 from damasksaddle_node.settings import Timing
@@ -86,8 +87,15 @@
     """One stream while this VM writes it."""
 
     def __init__(
-        self, vm_id: str, stream: int, table: Table, fleet: FleetLog, timing: Timing
+        self,
+        vm_id: str,
+        stream: int,
+        table: Table,
+        objects: Objects,
+        fleet: FleetLog,
+        timing: Timing,
     ) -> None:
+        self._archive = Archive(table, objects, stream)
         self.stream = stream
         self.position: int | None = None
         self.holders: dict[int, Holder] = {}
@@ -97,6 +105,7 @@
         self._fleet = fleet
         self._timing = timing
         self._queue: list[_Item] = []
+        self._truncate_from = BLOCK_ROWS
         self._wake = asyncio.Event()
 
     def add(self, item: _Item) -> None:
@@ -118,6 +127,24 @@
             if holder.vm_id not in members
         ]
 
+    async def truncate(self) -> None:
+        """Moves a block of rows that no takeover needs out of the table."""
+        if self.position is None or not self.is_mine():
+            return
+        # A new committer reads from the last row with the holders on.
+        until = self.position - 2 * HOLDERS_EVERY
+        for holder in self.holders.values():
+            if holder.last > holder.covered:
+                until = min(until, holder.covered)
+        if until < self._truncate_from:
+            return
+        try:
+            if not await self._archive.move(until):
+                blocks, _ = await self._archive.blocks()
+                self._truncate_from = (blocks + 1) * BLOCK_ROWS
+        except PlatformError as error:
+            log.debug("A stream was not truncated.", stream=self.stream, reason=error)
+
     def is_mine(self) -> bool:
         return self._fleet.state.owners.stream(self.stream) == self._vm_id
 
@@ -155,7 +182,8 @@
 
     async def _load(self) -> bool:
         try:
-            last = await self._rows.last_position(0)
+            blocks, _ = await self._archive.blocks()
+            last = await self._rows.last_position(blocks * BLOCK_ROWS)
             checkpoint = last - last % HOLDERS_EVERY
             self.holders = {}
             await self._read_from(max(checkpoint - 1, 0))
@@ -181,17 +209,18 @@
             self.holders = dict(row.holders)
         for entry in row.entries:
             known = self.holders.get(entry.partition)
-            snapshot_by = known.snapshot_by if known else 0
+            holder = known or Holder(NOBODY, 0)
             match entry.kind:
                 case EntryKind.OPENED:
-                    holder = Holder(entry.vm_id, position, snapshot_by)
-                    self.holders[entry.partition] = holder
+                    holder = replace(holder, vm_id=entry.vm_id, opened_at=position)
                 case EntryKind.CLOSED:
-                    holder = Holder(NOBODY, position, snapshot_by)
-                    self.holders[entry.partition] = holder
-                case EntryKind.SNAPSHOT if known is not None:
-                    holder = replace(known, snapshot_by=int(entry.records[1]))
-                    self.holders[entry.partition] = holder
+                    holder = replace(holder, vm_id=NOBODY, opened_at=position)
+                case EntryKind.SNAPSHOT:
+                    writer, covered = map(int, entry.records[1:])
+                    holder = replace(holder, snapshot_by=writer, covered=covered)
+                case EntryKind.RECORDS:
+                    holder = replace(holder, last=position)
+            self.holders[entry.partition] = holder
 
     def _admit(self) -> list[_Item]:
         batch: list[_Item] = []
@@ -277,6 +306,7 @@
         vm_id: str,
         streams: int,
         table: Table,
+        objects: Objects,
         fleet: FleetLog,
         peers: PeerPool,
         timing: Timing,
@@ -285,7 +315,8 @@
         self._peers = peers
         self._timing = timing
         self.streams = [
-            _Stream(vm_id, stream, table, fleet, timing) for stream in range(streams)
+            _Stream(vm_id, stream, table, objects, fleet, timing)
+            for stream in range(streams)
         ]
 
     def register(self, handlers: Handlers) -> None:
@@ -303,9 +334,9 @@
         stream.add(item)
         return Appended(stream.stream, await item.done)
 
-    async def open_orphans(self) -> None:
+    async def tend(self) -> None:
         """
-        Asks the owners of partitions without a holder to open them.
+        Asks the owners of partitions without a holder to open them; truncates.
 
         No call may ever come for such a partition, but its programs may still hold
         engine memory, and calls of unknown outcome wait for being settled.
@@ -315,6 +346,7 @@
             for stream in self.streams:
                 if stream.is_mine():
                     stream.wake()
+            await asyncio.gather(*(stream.truncate() for stream in self.streams))
             orphans = [p for stream in self.streams for p in stream.orphans()]
             await asyncio.gather(*(self._ask_to_open(p) for p in orphans))
 
--- a/packages/node/src/damasksaddle_node/commit/rows.py
+++ b/packages/node/src/damasksaddle_node/commit/rows.py
@@ -25,8 +25,8 @@
     records: list[str]
 
 
-# The first record of an entry that points to a snapshot of its partition; the second
-# is the position at which the snapshot's writer opened the partition.
+# The first record of an entry that points to a snapshot of its partition; the others
+# are the position at which its writer opened the partition and the one it covers.
 SNAPSHOT_MARK = "snapshot"
 
 
@@ -36,12 +36,15 @@
     The VM that may append for a partition, and where it opened it.
 
     `snapshot_by` is the opening position of the holder that wrote the partition's
-    newest snapshot, 0 if there is none.
+    newest snapshot, 0 if there is none; `covered` is the position that it covers.
+    `last` is the position of the partition's last record.
     """
 
     vm_id: str
     opened_at: int
     snapshot_by: int = 0
+    covered: int = 0
+    last: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -111,7 +111,7 @@
             self.fleet, self.peers, timing, self.guard, self.changes.confirm
         )
         self.committers = Committers(
-            self.vm_id, settings.streams, table, self.fleet, self.peers, timing
+            self.vm_id, settings.streams, table, objects, self.fleet, self.peers, timing
         )
         pools = PoolClient(self.fleet, self.peers)
         self.schedulers = PoolSchedulers(
@@ -173,7 +173,7 @@
             self.vouching.keep(),
             self.detector.watch(),
             self.committers.run(),
-            self.committers.open_orphans(),
+            self.committers.tend(),
             self.schedulers.tick(),
             self.owner.tend(),
             self.schedulers.watch_list(),
--- a/packages/node/src/damasksaddle_node/programs/charges.py
+++ b/packages/node/src/damasksaddle_node/programs/charges.py
@@ -3,8 +3,8 @@
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 
-from damasksaddle.platform import RowSequence, Table
-from damasksaddle_node.commit import EntryKind, load_row
+from damasksaddle.platform import Objects, Table
+from damasksaddle_node.commit import Archive, EntryKind, load_row
 from damasksaddle_node.programs.records import (
     CallFinished,
     Outcome,
@@ -28,19 +28,20 @@
     at_unix_s: int
 
 
-async def read_charges(table: Table, streams: int) -> list[Charge]:
+async def read_charges(table: Table, objects: Objects, streams: int) -> list[Charge]:
     """
     Returns one charge for each call whose record is durable, by call id.
 
-    A call of unknown outcome is charged 0 until it is settled. Raises
-    `TableUnavailable`.
+    A call of unknown outcome is charged 0 until it is settled. Rows that were
+    truncated are read from the object store. Raises `PlatformError`.
 
-    >>> sum(charge.charge_micros for charge in await read_charges(table, 4))
+    >>> charges = await read_charges(table, objects, 4)
+    >>> sum(charge.charge_micros for charge in charges)
     1250
     """
     charges: dict[str, Charge] = {}
     for stream in range(streams):
-        async for record in _finished(table, stream):
+        async for record in _finished(Archive(table, objects, stream)):
             # The same rule as in the owner's fold: the first record counts, and an
             # unknown outcome may be settled later.
             earlier = charges.get(record.call_id)
@@ -51,22 +52,18 @@
     return [charges[call_id] for call_id in sorted(charges)]
 
 
-async def _finished(table: Table, stream: int) -> AsyncGenerator[CallFinished, None]:
-    rows = RowSequence(table, f"stream/{stream}")
-    position = 0
-    while found := await rows.read_after(position):
-        for row in found:
-            position = rows.position(row)
-            for entry in load_row(row.value).entries:
-                if entry.kind is not EntryKind.RECORDS:
-                    continue
-                for text in entry.records:
-                    record = load_program_record(text)
-                    if (
-                        isinstance(record, CallFinished)
-                        and record.outcome is not Outcome.NOT_RUN
-                    ):
-                        yield record
+async def _finished(archive: Archive) -> AsyncGenerator[CallFinished, None]:
+    async for value in archive.values():
+        for entry in load_row(value).entries:
+            if entry.kind is not EntryKind.RECORDS:
+                continue
+            for text in entry.records:
+                record = load_program_record(text)
+                if (
+                    isinstance(record, CallFinished)
+                    and record.outcome is not Outcome.NOT_RUN
+                ):
+                    yield record
 
 
 def charge_of(record: CallFinished) -> Charge:
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -48,8 +48,8 @@
 from damasksaddle_node.programs.run import CallRun
 from damasksaddle_node.programs.settle import Settler
 from damasksaddle_node.programs.snapshot import (
-    SNAPSHOT_RECORDS,
     dump_snapshot,
+    is_due,
     load_snapshot,
     snapshot_key,
 )
@@ -422,16 +422,18 @@
             return
         partition.snapshotting = True
         covered = partition.tail_records
-        data = dump_snapshot(partition.state, partition.position)
+        position = partition.position
+        data = dump_snapshot(partition.state, position)
         key = snapshot_key(partition.number, partition.opened_at)
         try:
             await self._objects.put(key, data)
             await self._commits.append_until_known(
                 partition.number,
-                [SNAPSHOT_MARK, str(partition.opened_at)],
+                [SNAPSHOT_MARK, str(partition.opened_at), str(position)],
                 partition.opened_at,
             )
             partition.tail_records -= covered
+            partition.snapshot_s = asyncio.get_running_loop().time()
         except (PlatformError, NotOwner) as error:
             log.warning(
                 "A snapshot was not written.", partition=partition.number, reason=error
@@ -448,7 +450,7 @@
             for partition in held:
                 if not partition.draining:
                     self._engines.end_idle(partition)
-                if partition.tail_records >= SNAPSHOT_RECORDS:
+                if is_due(partition):
                     self._spawn(self._snapshot(partition))
                 # Records on their way are told from durable ones by identity.
                 if expire and not partition.waiting:
--- a/packages/node/src/damasksaddle_node/programs/partition.py
+++ b/packages/node/src/damasksaddle_node/programs/partition.py
@@ -53,6 +53,7 @@
     position: int = 0
     tail_records: int = 0
     snapshotting: bool = False
+    snapshot_s: float = field(default_factory=lambda: asyncio.get_running_loop().time())
     since_s: float = field(default_factory=lambda: asyncio.get_running_loop().time())
     waiting: list[Waiting] = field(default_factory=list)
     _key_locks: WeakValueDictionary[tuple[str, ...], asyncio.Lock] = field(
--- a/packages/node/src/damasksaddle_node/programs/snapshot.py
+++ b/packages/node/src/damasksaddle_node/programs/snapshot.py
@@ -1,8 +1,11 @@
 """Snapshots of a partition in the object store, which shorten a takeover."""
 
+import asyncio
+
 from pydantic import TypeAdapter
 from pydantic.dataclasses import dataclass
 
+from damasksaddle_node.programs.partition import Partition
 from damasksaddle_node.programs.records import (
     CallFinished,
     CallIntended,
@@ -13,6 +16,15 @@
 
 # A takeover reads at most about this many records besides the snapshot.
 SNAPSHOT_RECORDS = 500
+# Records that are in no snapshot keep rows of their stream from being truncated.
+SNAPSHOT_PERIOD_S = 600.0
+
+
+def is_due(partition: Partition) -> bool:
+    """Tells whether a partition's snapshot should be written."""
+    age_s = asyncio.get_running_loop().time() - partition.snapshot_s
+    tail = partition.tail_records
+    return tail >= SNAPSHOT_RECORDS or (tail > 0 and age_s > SNAPSHOT_PERIOD_S)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/node/programs/test_billing.py
+++ b/tests/node/programs/test_billing.py
@@ -8,7 +8,7 @@
 
 async def bill(s):
     """Compares the charges in the table with what the stand-ins saw."""
-    charges = await read_charges(s.fleet.table, 4)
+    charges = await read_charges(s.fleet.table, s.fleet.objects, 4)
     tokens, answers = defaultdict(int), 0
     for charge in charges:
         if charge.route == "chat":
@@ -87,7 +87,10 @@
         tokens, seen = await bill(s)
         assert tokens == seen
         assert (
-            sum(charge.charge_micros for charge in await read_charges(s.fleet.table, 4))
+            sum(
+                charge.charge_micros
+                for charge in await read_charges(s.fleet.table, s.fleet.objects, 4)
+            )
             == (await s.read("p1"))["spent_micros"]
         )
         assert "\n".join(s.lines) == snapshot
--- a/tests/node/programs/test_snapshot.py
+++ b/tests/node/programs/test_snapshot.py
@@ -5,14 +5,16 @@
 import pytest
 
 from damasksaddle.utils import partition_of
-from damasksaddle_node.commit import client, committer
-from damasksaddle_node.programs import owner, snapshot
+from damasksaddle_node.commit import client, committer, truncate
+from damasksaddle_node.programs import snapshot
+from damasksaddle_node.programs.charges import read_charges
 
 
 @pytest.fixture(autouse=True)
 def frequent_snapshots(monkeypatch):
     """Writes snapshots often, so that a session stays short."""
-    monkeypatch.setattr(owner, "SNAPSHOT_RECORDS", 4)
+    monkeypatch.setattr(snapshot, "SNAPSHOT_RECORDS", 4)
+    monkeypatch.setattr(snapshot, "SNAPSHOT_PERIOD_S", 5)
     for module in (client, committer):
         monkeypatch.setattr(module, "HOLDERS_EVERY", 8)
 
@@ -64,22 +66,6 @@
         assert s.text() == snapshot
 
 
-async def test_takeovers_follow_each_other(session):
-    """Guards against a takeover from an older snapshot than the newest."""
-    async with session(7) as s:
-        await fill(s)
-        for number in range(3):
-            for turn in range(3):
-                await s.ask("chat", f"round {number} turn {turn}", "p1")
-            await asyncio.sleep(3)
-            before = await s.read("p1")
-            await s.fleet.kill(s.owner("p1"))
-            await asyncio.sleep(15)
-            after = await s.read("p1")
-            assert after["messages"] == before["messages"]
-            assert after["spent_micros"] == before["spent_micros"]
-
-
 async def test_object_store_is_down(session):
     """Guards against an empty history when the snapshot cannot be read."""
     async with session(6) as s:
@@ -94,3 +80,32 @@
         await s.ask("chat", "back", "p1")
         prompts = [c.prompt for e in s.engines for c in e.seen]
         assert any(p.startswith("one") and p.endswith("back") for p in prompts)
+
+
+async def test_rows_are_truncated(session, monkeypatch):
+    """Guards against streams that grow for good, and takeovers from old snapshots."""
+    for module in (truncate, committer):
+        monkeypatch.setattr(module, "BLOCK_ROWS", 4)
+    async with session(8) as s:
+        await fill(s)
+        prefix = f"stream/{partition_of('ngo', 'p1') % 4}/"
+        written = 0
+        for number in range(4):
+            for turn in range(15):
+                await s.ask("chat", f"round {number} turn {turn}", "p1")
+            await asyncio.sleep(15)
+            rows = sorted(key for key in s.fleet.table.rows if key.startswith(prefix))
+            assert len(rows) < 40
+            written = int(rows[-1][-12:])
+            before = await s.read("p1")
+            if number < 3:
+                for name in sorted({s.committer("p1"), s.owner("p1")}):
+                    await s.fleet.kill(name)
+                await asyncio.sleep(15)
+            after = await s.read("p1")
+            assert after["messages"] == before["messages"]
+            assert after["spent_micros"] == before["spent_micros"]
+        assert written > 60
+        charges = await read_charges(s.fleet.table, s.fleet.objects, 4)
+        assert sum(c.charge_micros for c in charges) == after["spent_micros"]
+        assert len(charges) == 5 + 60
