Choose watchers on a ring, once per roster

Cause: a node ranked all pairs of members at each tick to find which members it watches.

Change: members form a ring in the order of a hash, the next two of other failure domains watch a member, and a node computes its share once per epoch.

Ruled out: only caching the ranking.

--- a/packages/node/src/damasksaddle_node/fleet/detector.py
+++ b/packages/node/src/damasksaddle_node/fleet/detector.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from itertools import chain, islice
 
 from damasksaddle.exceptions import (
     PeerError,
@@ -22,7 +23,7 @@
 from damasksaddle_node.fleet.lease import lease_key
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.fleet.records import FleetRecord, VmRemoved
-from damasksaddle_node.fleet.state import FleetState
+from damasksaddle_node.fleet.state import FleetState, Member
 from damasksaddle_node.peers import PeerPool
 from damasksaddle_node.settings import Timing
 from damasksaddle_protocol import Release, Released
@@ -47,6 +48,36 @@
     since_s: float
 
 
+def watched_by(vm_id: str, members: dict[str, Member]) -> list[str]:
+    """
+    Returns the members that a VM watches.
+
+    Members form a ring in the order of a hash; the next two of other failure domains
+    watch a member, and its next neighbours if there are no other domains. A ring
+    needs one hash per member, where ranking all pairs needs one per pair.
+    """
+    ring = rendezvous("watch", members)
+    return [
+        member
+        for number, member in enumerate(ring)
+        if vm_id in _watchers(members[member], ring[number + 1 :], ring, members)
+    ]
+
+
+def _watchers(
+    member: Member, after: list[str], ring: list[str], members: dict[str, Member]
+) -> list[str]:
+    others = (other for other in chain(after, ring) if other != member.vm_id)
+    found: dict[str, None] = {}
+    near: dict[str, None] = {}
+    for other in islice(others, len(ring) - 1):
+        far = members[other].failure_domain != member.failure_domain
+        (found if far else near)[other] = None
+        if len(found) == WATCHERS:
+            break
+    return [*found, *near][:WATCHERS]
+
+
 class FailureDetector:
     """Watches the lease rows that fall to this VM."""
 
@@ -66,21 +97,17 @@
         self._changes = changes
         self._timing = timing
         self._seen: dict[str, _Seen] = {}
+        self._watched: list[str] = []
+        self._watched_at = 0
         self.unlisted: set[str] = set()
 
     def watched(self) -> list[str]:
         """Returns the members that this VM watches."""
-        members = self._fleet.state.members
-        mine = []
-        for vm_id, member in members.items():
-            others = [other for other in members if other != vm_id]
-            ranked = rendezvous(f"watch/{vm_id}", others)
-            ranked.sort(
-                key=lambda other: members[other].failure_domain == member.failure_domain
-            )
-            if self._vm_id in ranked[:WATCHERS]:
-                mine.append(vm_id)
-        return mine
+        state = self._fleet.state
+        if self._watched_at != state.epoch:
+            self._watched_at = state.epoch
+            self._watched = watched_by(self._vm_id, state.members)
+        return self._watched
 
     async def watch(self) -> None:
         """Checks the watched rows three times per lease."""
