Recover when more than half of the VMs are lost at once

Cause: nothing read the platform's VM list, so that members that are gone could never be outvoted.

Change: watchers read the list at each tick. An empty list is ignored.

Before: test_loss_of_more_than_half: all 5 members were still in the roster 70 s after 3 of them were killed. After: the roster holds the 2 that live, and a new VM joins. Also tested, and passing before: the table down for 300 s with every lease and proof held by vouches, a VM paused for 5, 7.5 and 20 s, and a minority island.

--- a/packages/node/src/damasksaddle_node/fleet/changes.py
+++ b/packages/node/src/damasksaddle_node/fleet/changes.py
@@ -24,6 +24,9 @@
         self._fleet = fleet
         self._peers = peers
         self._timing = timing
+        # Members that the platform's VM list showed and no longer shows. They cannot
+        # vouch for anybody, so they count as having applied and agreed to anything.
+        self.unlisted: set[str] = set()
         self._asking: set[asyncio.Task[str | None]] = set()
 
     def register(self, handlers: Handlers) -> None:
@@ -42,8 +45,10 @@
         Otherwise returns the members that had not confirmed in time.
         """
         members = list(self._fleet.state.members)
-        asking = [asyncio.create_task(self._ask(v, position)) for v in members]
-        missing = set(members)
+        missing = set(members) - self.unlisted
+        if len(missing) < (len(members) + 1) // 2:
+            return None
+        asking = [asyncio.create_task(self._ask(v, position)) for v in missing]
         # The others go on in the background: a hint makes them apply it at once.
         self._asking.update(asking)
         for task in asking:
--- a/packages/node/src/damasksaddle_node/fleet/detector.py
+++ b/packages/node/src/damasksaddle_node/fleet/detector.py
@@ -12,12 +12,13 @@
 
 from damasksaddle.exceptions import (
     PeerError,
+    PlatformError,
     Refusal,
     RosterUnsettled,
     RowTaken,
     TableUnavailable,
 )
-from damasksaddle.platform import Put, Table
+from damasksaddle.platform import Put, Table, VmList
 from damasksaddle.utils import Counter, count, get_log, rendezvous
 from damasksaddle_node.fleet.changes import ChangeAcceptance
 from damasksaddle_node.fleet.lease import lease_key
@@ -88,6 +89,7 @@
         fleet: FleetLog,
         peers: PeerPool,
         changes: ChangeAcceptance,
+        vm_list: VmList,
         timing: Timing,
     ) -> None:
         self._vm_id = vm_id
@@ -99,7 +101,9 @@
         self._seen: dict[str, _Seen] = {}
         self._watched: list[str] = []
         self._watched_at = 0
-        self.unlisted: set[str] = set()
+        self._vm_list = vm_list
+        self._listed: set[str] = set()
+        self._gone_since_s: dict[str, float] = {}
 
     def watched(self) -> list[str]:
         """Returns the members that this VM watches."""
@@ -113,6 +117,7 @@
         """Checks the watched rows three times per lease."""
         while True:
             await asyncio.sleep(self._timing.lease_s / 3)
+            await self._read_vm_list()
             watched = self.watched()
             self._seen = {v: s for v, s in self._seen.items() if v in watched}
             for vm_id in watched:
@@ -124,6 +129,27 @@
                     log.debug("A lease row cannot be read.", reason=error)
                     break
 
+    async def _read_vm_list(self) -> None:
+        """Notes members that the list showed and has not shown for a lease."""
+        try:
+            names = {vm.name for vm in await self._vm_list.read()}
+        except PlatformError as error:
+            log.debug("The VM list cannot be read.", reason=error)
+            return
+        if not names:
+            # An empty list is a fault of the platform, because this VM runs.
+            return
+        now_s = asyncio.get_running_loop().time()
+        members = self._fleet.state.members
+        present = {v for v, member in members.items() if member.name in names}
+        self._listed = (self._listed | present) & members.keys()
+        gone = self._listed - present
+        self._gone_since_s = {v: self._gone_since_s.get(v, now_s) for v in gone}
+        wait_s = self._timing.lease_s * CLOCK_MARGIN
+        self._changes.unlisted = {
+            v for v, since_s in self._gone_since_s.items() if now_s - since_s >= wait_s
+        }
+
     async def _check(self, vm_id: str) -> None:
         now_s = asyncio.get_running_loop().time()
         row = await self._table.get(lease_key(vm_id))
@@ -193,7 +219,7 @@
                 task.cancel()
 
     async def _ask(self, other: str, vm_id: str) -> bool:
-        if other in self.unlisted:
+        if other in self._changes.unlisted:
             return True
         try:
             answer = await self._peers.request(
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -105,7 +105,13 @@
         )
         self.changes = ChangeAcceptance(self.fleet, self.peers, timing)
         self.detector = FailureDetector(
-            self.vm_id, table, self.fleet, self.peers, self.changes, timing
+            self.vm_id,
+            table,
+            self.fleet,
+            self.peers,
+            self.changes,
+            vm_list,
+            timing,
         )
         self.limiter = Limiter(
             self.fleet, self.peers, timing, self.guard, self.changes.confirm
--- /dev/null
+++ b/tests/node/fleet/test_membership.py
@@ -0,0 +1,78 @@
+"""Who is a member while VMs and the table fail (R20, R22)."""
+
+import asyncio
+
+import pytest
+
+from damasksaddle.exceptions import Refusal
+from damasksaddle.platform import ListedVm
+from damasksaddle_standins.fleet import LocalFleet
+
+
+def able(fleet: LocalFleet) -> list[str]:
+    """The nodes that may act now."""
+    found = []
+    for name, node in fleet.nodes.items():
+        try:
+            node.guard()
+            found.append(name)
+        except Refusal:
+            pass
+    return found
+
+
+async def test_loss_of_more_than_half():
+    """Guards against a fleet that cannot recover when most VMs are lost at once."""
+    async with LocalFleet(5) as fleet:
+        await asyncio.sleep(10)
+        for name in ("vm0", "vm1", "vm2"):
+            await fleet.kill(name)
+        await asyncio.sleep(30)
+        assert len(fleet.any().fleet.state.members) == 5
+        fleet.vm_list.set([ListedVm(name, name, False) for name in fleet.nodes])
+        await asyncio.sleep(40)
+        assert set(fleet.any().fleet.state.members) == {
+            node.vm_id for node in fleet.nodes.values()
+        }
+        await fleet.start("vm7")
+        assert sorted(able(fleet)) == ["vm3", "vm4", "vm7"]
+
+
+async def test_table_down_for_minutes_removes_nobody():
+    """Guards against leases that lapse while the table is down for all."""
+    async with LocalFleet(5) as fleet:
+        fleet.table.faults.down = True
+        for _ in range(300):
+            await asyncio.sleep(1)
+            assert len(able(fleet)) == 5
+        fleet.table.faults.down = False
+        await asyncio.sleep(20)
+        assert len(fleet.any().fleet.state.members) == 5
+
+
+@pytest.mark.parametrize("pause_s", [5.0, 7.5, 20.0])
+async def test_paused_vm_is_removed_and_never_acts_late(pause_s):
+    """Guards against a VM that acts on a lease which ran out while it was paused."""
+    async with LocalFleet(5) as fleet:
+        await asyncio.sleep(7)
+        fleet.pause("vm1")
+        await asyncio.sleep(pause_s)
+        fleet.resume("vm1")
+        member = fleet.nodes["vm1"].vm_id in fleet.nodes["vm0"].fleet.state.members
+        assert "vm1" not in able(fleet)
+        await asyncio.sleep(15)
+        still = fleet.nodes["vm1"].vm_id in fleet.nodes["vm0"].fleet.state.members
+        assert still == member == ("vm1" in able(fleet))
+        assert fleet.nodes["vm1"].removed.is_set() != member
+
+
+async def test_minority_island_refuses():
+    """Guards against a minority that goes on without the table."""
+    async with LocalFleet(5) as fleet:
+        for name in ("vm0", "vm1"):
+            fleet.network.cut_off(name, ["vm2", "vm3", "vm4"])
+            fleet.table.faults.unreachable_for.add(name)
+        await asyncio.sleep(4)
+        assert sorted(able(fleet)) == ["vm2", "vm3", "vm4"]
+        await asyncio.sleep(20)
+        assert len(fleet.nodes["vm2"].fleet.state.members) == 3
