--- a/tests/node/fleet/test_keys.py
+++ b/tests/node/fleet/test_keys.py
@@ -21,6 +21,7 @@
 routes: {chat: {pool: p}}
 workspaces:
   ngo: {rate_per_s: 100, burst: 100}
+  other: {rate_per_s: 100, burst: 100}
 """
 
 
@@ -86,3 +87,22 @@
         assert served_s[-1] - withdrawn_s <= BOUND_S
         for task in tasks:
             task.cancel()
+
+
+async def test_same_ids_of_two_workspaces_stay_apart():
+    """Guards against data of a workspace shown to another that names its ids."""
+    async with LocalFleet(3) as fleet:
+        keys = [await desk(fleet), await fleet.give_key("other")]
+        for key in keys:
+            request = chat(key, 3, program_id="p", idempotency_key="k")
+            _, outcome = await fleet.call("vm1", request)
+            assert not outcome.replayed
+            _, outcome = await fleet.call("vm2", chat(key, 3, program_id="p"))
+        seen = fleet.upstreams.engines["http://e"].seen
+        assert [call.session for call in seen] == ["ngo/p"] * 2 + ["other/p"] * 2
+        assert [call.prompt for call in seen[2:]] == [call.prompt for call in seen[:2]]
+        for key in keys:
+            lists = await fleet.nodes["vm0"].entry.list_programs(
+                fleet.nodes["vm0"].entry.authenticate(key).workspace
+            )
+            assert sum(text.count(b'"program_id"') for text in lists) == 1
--- a/tests/node/fleet/test_membership.py
+++ b/tests/node/fleet/test_membership.py
@@ -76,3 +76,28 @@
         assert sorted(able(fleet)) == ["vm2", "vm3", "vm4"]
         await asyncio.sleep(20)
         assert len(fleet.nodes["vm2"].fleet.state.members) == 3
+
+
+async def test_two_failures_at_once_twice_in_a_row():
+    """Guards against removals that hinder each other."""
+    async with LocalFleet(9) as fleet:
+        await asyncio.sleep(7)
+        for pair in (("vm0", "vm1"), ("vm2", "vm3")):
+            for name in pair:
+                await fleet.kill(name)
+            started_s = asyncio.get_running_loop().time()
+            while len(fleet.any().fleet.state.members) > len(fleet.nodes):
+                await asyncio.sleep(0.1)
+            assert asyncio.get_running_loop().time() - started_s < 12
+            assert sorted(able(fleet)) == sorted(fleet.nodes)
+
+
+async def test_restart_replaces_the_earlier_start():
+    """Guards against two members of one name."""
+    async with LocalFleet(3) as fleet:
+        old = fleet.nodes["vm1"].vm_id
+        await fleet.kill("vm1")
+        new = (await fleet.start("vm1")).vm_id
+        await fleet.settle()
+        members = fleet.nodes["vm0"].fleet.state.members
+        assert old not in members and new in members and len(members) == 3
