--- a/packages/node/src/damasksaddle_node/fleet/detector.py
+++ b/packages/node/src/damasksaddle_node/fleet/detector.py
@@ -8,21 +8,23 @@
 
 import asyncio
 from dataclasses import dataclass
+from itertools import chain, islice
 
 from damasksaddle.exceptions import (
     PeerError,
+    PlatformError,
     Refusal,
     RosterUnsettled,
     RowTaken,
     TableUnavailable,
 )
-from damasksaddle.platform import Put, Table
+from damasksaddle.platform import Put, Table, VmList
 from damasksaddle.utils import Counter, count, get_log, rendezvous
 from damasksaddle_node.fleet.changes import ChangeAcceptance
 from damasksaddle_node.fleet.lease import lease_key
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.fleet.records import FleetRecord, VmRemoved
-from damasksaddle_node.fleet.state import FleetState
+from damasksaddle_node.fleet.state import FleetState, Member
 from damasksaddle_node.peers import PeerPool
 from damasksaddle_node.settings import Timing
 from damasksaddle_protocol import Release, Released
@@ -47,6 +49,36 @@
     since_s: float
 
 
+def watched_by(vm_id: str, members: dict[str, Member]) -> list[str]:
+    """
+    Returns the members that a VM watches.
+
+    Members form a ring in the order of a hash; the next two of other failure domains
+    watch a member, and its next neighbours if there are no other domains. A ring
+    needs one hash per member, where ranking all pairs needs one per pair.
+    """
+    ring = rendezvous("watch", members)
+    return [
+        member
+        for number, member in enumerate(ring)
+        if vm_id in _watchers(members[member], ring[number + 1 :], ring, members)
+    ]
+
+
+def _watchers(
+    member: Member, after: list[str], ring: list[str], members: dict[str, Member]
+) -> list[str]:
+    others = (other for other in chain(after, ring) if other != member.vm_id)
+    found: dict[str, None] = {}
+    near: dict[str, None] = {}
+    for other in islice(others, len(ring) - 1):
+        far = members[other].failure_domain != member.failure_domain
+        (found if far else near)[other] = None
+        if len(found) == WATCHERS:
+            break
+    return [*found, *near][:WATCHERS]
+
+
 class FailureDetector:
     """Watches the lease rows that fall to this VM."""
 
@@ -57,6 +89,7 @@
         fleet: FleetLog,
         peers: PeerPool,
         changes: ChangeAcceptance,
+        vm_list: VmList,
         timing: Timing,
     ) -> None:
         self._vm_id = vm_id
@@ -66,26 +99,25 @@
         self._changes = changes
         self._timing = timing
         self._seen: dict[str, _Seen] = {}
-        self.unlisted: set[str] = set()
+        self._watched: list[str] = []
+        self._watched_at = 0
+        self._vm_list = vm_list
+        self._listed: set[str] = set()
+        self._gone_since_s: dict[str, float] = {}
 
     def watched(self) -> list[str]:
         """Returns the members that this VM watches."""
-        members = self._fleet.state.members
-        mine = []
-        for vm_id, member in members.items():
-            others = [other for other in members if other != vm_id]
-            ranked = rendezvous(f"watch/{vm_id}", others)
-            ranked.sort(
-                key=lambda other: members[other].failure_domain == member.failure_domain
-            )
-            if self._vm_id in ranked[:WATCHERS]:
-                mine.append(vm_id)
-        return mine
+        state = self._fleet.state
+        if self._watched_at != state.epoch:
+            self._watched_at = state.epoch
+            self._watched = watched_by(self._vm_id, state.members)
+        return self._watched
 
     async def watch(self) -> None:
         """Checks the watched rows three times per lease."""
         while True:
             await asyncio.sleep(self._timing.lease_s / 3)
+            await self._read_vm_list()
             watched = self.watched()
             self._seen = {v: s for v, s in self._seen.items() if v in watched}
             for vm_id in watched:
@@ -97,6 +129,27 @@
                     log.debug("A lease row cannot be read.", reason=error)
                     break
 
+    async def _read_vm_list(self) -> None:
+        """Notes members that the list showed and has not shown for a lease."""
+        try:
+            names = {vm.name for vm in await self._vm_list.read()}
+        except PlatformError as error:
+            log.debug("The VM list cannot be read.", reason=error)
+            return
+        if not names:
+            # An empty list is a fault of the platform, because this VM runs.
+            return
+        now_s = asyncio.get_running_loop().time()
+        members = self._fleet.state.members
+        present = {v for v, member in members.items() if member.name in names}
+        self._listed = (self._listed | present) & members.keys()
+        gone = self._listed - present
+        self._gone_since_s = {v: self._gone_since_s.get(v, now_s) for v in gone}
+        wait_s = self._timing.lease_s * CLOCK_MARGIN
+        self._changes.unlisted = {
+            v for v, since_s in self._gone_since_s.items() if now_s - since_s >= wait_s
+        }
+
     async def _check(self, vm_id: str) -> None:
         now_s = asyncio.get_running_loop().time()
         row = await self._table.get(lease_key(vm_id))
@@ -166,7 +219,7 @@
                 task.cancel()
 
     async def _ask(self, other: str, vm_id: str) -> bool:
-        if other in self.unlisted:
+        if other in self._changes.unlisted:
             return True
         try:
             answer = await self._peers.request(
