Store the text of a turn once in its record

Cause: the record of a turn had the answer's text in its body and again in the history, so that rows of commit streams were almost twice as large as needed. Change: a turn's record holds what the caller added and the body; the history is built from both. Ruled out: building the body from the history, since answers that are kept for an idempotency key outlive their program's history.

--- a/packages/node/src/damasksaddle_node/programs/model.py
+++ b/packages/node/src/damasksaddle_node/programs/model.py
@@ -217,10 +217,6 @@
         self, outcome: Outcome, added: list[str], reserved_micros: int
     ) -> CallFinished:
         output = self._context.output
-        messages: list[str] = []
-        if outcome is Outcome.OK:
-            answer = {"role": "assistant", "content": output.text}
-            messages = [*added, json.dumps(answer)]
         charge = cost_micros(self._context.pool, output.prompt_tokens, output.tokens)
         return finished_record(
             self._context,
@@ -230,7 +226,7 @@
             body=json.dumps(
                 {"text": output.text, "finish_reason": output.finish_reason}
             ),
-            messages=messages,
+            messages=added if outcome is Outcome.OK else None,
             charge_micros=min(charge, reserved_micros),
             upstream=output.upstream,
             engines=sorted(output.engines),
--- a/packages/node/src/damasksaddle_node/programs/records.py
+++ b/packages/node/src/damasksaddle_node/programs/records.py
@@ -1,6 +1,7 @@
 """Records of programs in the commit streams, and the outcome of a call."""
 
 import base64
+import json
 from enum import StrEnum
 from typing import Annotated, Literal
 
@@ -67,8 +68,8 @@
     """
     A call ended. This record is also the charge: there is one per call id.
 
-    `messages` are what the call adds to the history, as JSON texts; `sequence`
-    numbers the calls that add something, and `follows` is the call id of the one
+    A `turn` adds its `messages`, as JSON texts, and the answer in its body to the
+    history; `sequence` numbers the turns, and `follows` is the call id of the one
     before. `engines` may hold memory for the program. `reserved_micros` is what a
     call of unknown outcome may still cost; a later record with the same call id may
     settle it. A `binary` body is in base64.
@@ -98,8 +99,16 @@
     reserved_micros: int = 0
     follows: str = ""
     binary: bool = False
+    turn: bool = False
     kind: Literal["call_finished"] = "call_finished"
 
+    def history(self) -> list[str]:
+        """Returns the messages that this call adds to its program's history."""
+        if not self.turn:
+            return []
+        answer = {"role": "assistant", "content": json.loads(self.body)["text"]}
+        return [*self.messages, json.dumps(answer)]
+
 
 @dataclass(frozen=True, slots=True)
 class ProgramFinished:
--- a/packages/node/src/damasksaddle_node/programs/state.py
+++ b/packages/node/src/damasksaddle_node/programs/state.py
@@ -236,7 +236,7 @@
         for record in program.calls:
             if is_kept(record):
                 self.finished[record.call_id] = replace(
-                    record, messages=[], engines=[], trace=Trace()
+                    record, messages=[], turn=False, engines=[], trace=Trace()
                 )
             else:
                 self._forget(record.call_id)
@@ -260,8 +260,8 @@
     def _extend_history(program: Program, record: CallFinished) -> None:
         # A turn that does not follow the last one ran on a history that was lost or
         # replaced: its charge and its answer count, its messages do not.
-        if record.messages and record.follows == program.last_turn:
-            program.messages.extend(record.messages)
+        if record.turn and record.follows == program.last_turn:
+            program.messages.extend(record.history())
             program.sequence = record.sequence
             program.last_turn = record.call_id
 
--- a/packages/standins/src/damasksaddle_standins/costs.py
+++ b/packages/standins/src/damasksaddle_standins/costs.py
@@ -151,7 +151,7 @@
 
 def _finished(program: str, number: int, words: int) -> CallFinished:
     text = "word " * words
-    messages = [json.dumps({"role": "assistant", "content": text})]
+    messages = [json.dumps({"role": "user", "content": "the next step"})]
     return CallFinished(
         record_id=new_id("record"),
         workspace="workspace-1",
@@ -166,6 +166,7 @@
         content_type="application/json",
         body=json.dumps({"text": text, "finish_reason": "stop"}),
         messages=messages,
+        turn=True,
         charge_micros=100,
         prompt_tokens=9000,
         output_tokens=words,
