Measure what idle node processes cost at several sizes

`python -m damasksaddle_standins slopes` starts 3 to 24 nodes, declares workspaces and opens programs, and prints CPU time, memory and the platform's counts of requests and bytes, with least-squares slopes, as Markdown and JSON. Bytes between peers are not measured, and no test covers this module.

--- a/packages/standins/src/damasksaddle_standins/__main__.py
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -18,6 +18,7 @@
 from damasksaddle_standins.platform import MemoryObjects, MemoryTable
 from damasksaddle_standins.recording import Recorder
 from damasksaddle_standins.servers import engine_app, platform_app, tool_app
+from damasksaddle_standins.slopes import markdown, run_slopes
 from damasksaddle_standins.soak import run_soak
 from damasksaddle_standins.streams import run_streams
 from damasksaddle_standins.tool import ToolService
@@ -103,6 +104,22 @@
     click.echo(run_bench(directory, list(seeds), workers))
 
 
+@main.command("slopes")
+@click.option("--nodes", multiple=True, default=(3, 6, 12, 24), type=int)
+@click.option("--workspaces", multiple=True, default=(10, 100, 400), type=int)
+@click.option("--programs", multiple=True, default=(100, 500, 2000), type=int)
+@click.option("--seconds", default=10.0, show_default=True, help="Length of a point.")
+def slopes_command(
+    nodes: tuple[int, ...],
+    workspaces: tuple[int, ...],
+    programs: tuple[int, ...],
+    seconds: float,
+) -> None:
+    """Measures idle node processes at several sizes."""
+    found = run_slopes(list(nodes), list(workspaces), list(programs), seconds)
+    click.echo(markdown(asyncio.run(found)))
+
+
 @main.command()
 @click.option("--seed", default=1, show_default=True)
 @click.option("--minutes", default=10.0, show_default=True, help="Simulated time.")
--- a/packages/standins/src/damasksaddle_standins/servers.py
+++ b/packages/standins/src/damasksaddle_standins/servers.py
@@ -21,6 +21,8 @@
 from damasksaddle_standins.tool import ToolService
 
 PLAIN_TIMEOUT_S = 30.0
+# The size of the line and headers of a response of the platform.
+HEAD_BYTES = 150
 
 
 def _rows(rows: list[Row]) -> web.Response:
@@ -34,8 +36,14 @@
 
     @web.middleware
     async def faults(request: web.Request, handler):
+        # What a node sends and receives, as bytes of headers and bodies.
+        table.counts["bytes"] += sum(
+            len(name) + len(value) for name, value in request.raw_headers
+        ) + (request.content_length or 0)
         try:
-            return await handler(request)
+            response = await handler(request)
+            table.counts["bytes"] += HEAD_BYTES + (response.content_length or 0)
+            return response
         except TableUnavailable as error:
             return web.Response(status=503, text=str(error))
         except RowTaken as error:
@@ -77,6 +85,9 @@
         vms[:] = await request.json()
         return web.Response()
 
+    async def get_counts(request: web.Request) -> web.Response:
+        return web.json_response(dict(table.counts))
+
     async def put_faults(request: web.Request) -> web.Response:
         for name, value in (await request.json()).items():
             setattr(table.faults, name, value)
@@ -93,6 +104,7 @@
             web.get("/vms", get_vms),
             web.put("/vms", put_vms),
             web.put("/faults", put_faults),
+            web.get("/counts", get_counts),
         ]
     )
     return app
