Replay documents in their checked form, and let VMs join a fleet that lost all

VMs with new names could not join once all members were lost, since no majority could confirm the epoch; a process that starts late has never seen those members in the VM list. Change: a document's record carries what was checked; nodes keep 20 versions. A VM list that shows this VM is newer than the members that were there before it started, so members that it does not show are gone. Seen failing: tests/node/fleet test_loss_of_all cannot pass before, as the join waited without end.

--- a/packages/node/src/damasksaddle_node/fleet/detector.py
+++ b/packages/node/src/damasksaddle_node/fleet/detector.py
@@ -93,6 +93,7 @@
         timing: Timing,
     ) -> None:
         self._vm_id = vm_id
+        self._name = vm_id.rpartition("-")[0]
         self._table = table
         self._fleet = fleet
         self._peers = peers
@@ -103,6 +104,7 @@
         self._watched_at = 0
         self._vm_list = vm_list
         self._listed: set[str] = set()
+        self._earlier: set[str] = set()
         self._gone_since_s: dict[str, float] = {}
 
     def watched(self) -> list[str]:
@@ -117,7 +119,7 @@
         """Checks the watched rows three times per lease."""
         while True:
             await asyncio.sleep(self._timing.lease_s / 3)
-            await self._read_vm_list()
+            await self.read_vm_list()
             watched = self.watched()
             self._seen = {v: s for v, s in self._seen.items() if v in watched}
             for vm_id in watched:
@@ -129,8 +131,19 @@
                     log.debug("A lease row cannot be read.", reason=error)
                     break
 
-    async def _read_vm_list(self) -> None:
-        """Notes members that the list showed and has not shown for a lease."""
+    def remember_earlier(self) -> None:
+        """
+        Notes the members that were there before this process started.
+
+        A list that shows this VM is newer than they are, so that it shows those
+        that live. A name that was a member before proves nothing about the list.
+        """
+        members = self._fleet.state.members
+        if all(member.name != self._name for member in members.values()):
+            self._earlier = set(members)
+
+    async def read_vm_list(self) -> None:
+        """Notes members that the list should show and has not shown for a lease."""
         try:
             names = {vm.name for vm in await self._vm_list.read()}
         except PlatformError as error:
@@ -142,6 +155,8 @@
         now_s = asyncio.get_running_loop().time()
         members = self._fleet.state.members
         present = {v for v, member in members.items() if member.name in names}
+        if self._name in names:
+            self._listed |= self._earlier
         self._listed = (self._listed | present) & members.keys()
         gone = self._listed - present
         self._gone_since_s = {v: self._gone_since_s.get(v, now_s) for v in gone}
--- a/packages/node/src/damasksaddle_node/fleet/records.py
+++ b/packages/node/src/damasksaddle_node/fleet/records.py
@@ -5,6 +5,8 @@
 from pydantic import Field, TypeAdapter
 from pydantic.dataclasses import dataclass
 
+from damasksaddle.config import ServiceDocument
+
 
 @dataclass(frozen=True, slots=True)
 class VmJoined:
@@ -44,13 +46,19 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentApplied:
-    """A version of a service document; `text` is its YAML."""
+    """
+    A version of a service document.
+
+    `text` is its YAML as it was written. `document` is what it says, checked by the
+    VM that accepted it: reading that back costs a small part of parsing YAML again.
+    """
 
     service: str
     version: int
     text: str
     operator: str
     at_unix_s: int
+    document: ServiceDocument | None = None
     kind: Literal["document_applied"] = "document_applied"
 
 
--- a/packages/node/src/damasksaddle_node/fleet/state.py
+++ b/packages/node/src/damasksaddle_node/fleet/state.py
@@ -15,6 +15,9 @@
     VmRemoved,
 )
 
+# Versions of a document that a node keeps in memory; all stay in the fleet log.
+HISTORY_KEPT = 20
+
 
 @dataclass(slots=True)
 class Member:
@@ -126,10 +129,12 @@
             record.text,
             record.operator,
             record.at_unix_s,
-            load_document(record.text, recorded=True),
+            record.document or load_document(record.text, recorded=True),
         )
         self.documents[record.service] = version
-        self.history.setdefault(record.service, []).append(version)
+        kept = self.history.setdefault(record.service, [])
+        kept.append(version)
+        del kept[:-HISTORY_KEPT]
 
     def document(self, service: str) -> ServiceDocument | None:
         """Returns the document in force of a service."""
--- a/packages/node/src/damasksaddle_node/http/admin.py
+++ b/packages/node/src/damasksaddle_node/http/admin.py
@@ -139,7 +139,7 @@
             _check_workspaces(state, document)
             applied["version"] = version + 1
             return DocumentApplied(
-                service, version + 1, text, operator, int(time.time())
+                service, version + 1, text, operator, int(time.time()), document
             )
 
         return await self._change(check, applied)
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -243,9 +243,13 @@
             self.settings.peer_address or self.server.address,
             self.http_url or f"http://{self.vm_id}",
         )
+        remembered = False
         while True:
             try:
                 await self.fleet.catch_up()
+                if not remembered:
+                    self.detector.remember_earlier()
+                    remembered = True
                 epoch = await self._epoch_to_join()
 
                 def check(state: FleetState, epoch: int = epoch) -> FleetRecord:
@@ -258,6 +262,8 @@
                 break
             except RosterUnsettled as error:
                 log.debug("The fleet cannot be joined yet.", reason=error)
+                # If all members are lost, the list tells it.
+                await self.detector.read_vm_list()
                 await asyncio.sleep(self._join_pause_s())
             except PlatformError as error:
                 log.warning("The fleet cannot be joined yet.", reason=error)
--- a/packages/standins/src/damasksaddle_standins/costs.py
+++ b/packages/standins/src/damasksaddle_standins/costs.py
@@ -20,7 +20,13 @@
 from damasksaddle.utils import new_id
 from damasksaddle_node.commit.rows import Entry, EntryKind, StreamRow, dump_row
 from damasksaddle_node.fleet.ownership import Owners
-from damasksaddle_node.fleet.records import KeyGiven, VmJoined, dump_record, load_record
+from damasksaddle_node.fleet.records import (
+    DocumentApplied,
+    KeyGiven,
+    VmJoined,
+    dump_record,
+    load_record,
+)
 from damasksaddle_node.fleet.state import FleetState
 from damasksaddle_node.limits import Bucket
 from damasksaddle_node.peers import (
@@ -228,7 +234,7 @@
     ]
 
 
-def _document() -> Cost:
+def _documents() -> list[Cost]:
     upstreams = [
         {"name": f"run-{n}", "url": f"http://10.0.0.{n}", "failure_domain": "a"}
         for n in range(43)
@@ -244,7 +250,12 @@
         }
     )
     name = f"document of {len(text)} bytes, read and check"
-    return Cost(name, "us", [1], [_time_us(lambda: load_document(text), 10)])
+    record = DocumentApplied("s", 1, text, "operator", 0, load_document(text))
+    row = dump_record(record)
+    return [
+        Cost(name, "us", [1], [_time_us(lambda: load_document(text), 10)]),
+        Cost("its record, read", "us", [1], [_time_us(lambda: load_record(row), 200)]),
+    ]
 
 
 async def _bucket() -> Cost:
@@ -289,7 +300,7 @@
         *_frames(),
         _ownership(),
         *_records(),
-        _document(),
+        *_documents(),
         asyncio.run(_bucket()),
         asyncio.run(_round_trip()),
         _fleet_memory(),
--- a/tests/node/fleet/test_membership.py
+++ b/tests/node/fleet/test_membership.py
@@ -38,6 +38,22 @@
         assert sorted(able(fleet)) == ["vm3", "vm4", "vm7"]
 
 
+async def test_loss_of_all():
+    """Guards against a fleet that no VM can join once all members are lost."""
+    async with LocalFleet(3) as fleet:
+        await asyncio.sleep(10)
+        for name in ("vm0", "vm1", "vm2"):
+            await fleet.kill(name)
+        async with asyncio.timeout(60):
+            await fleet.start("vm7")
+        await fleet.start("vm8")
+        await asyncio.sleep(60)
+        assert set(fleet.any().fleet.state.members) == {
+            node.vm_id for node in fleet.nodes.values()
+        }
+        assert sorted(able(fleet)) == ["vm7", "vm8"]
+
+
 async def test_table_down_for_minutes_removes_nobody():
     """Guards against leases that lapse while the table is down for all."""
     async with LocalFleet(5) as fleet:
