Split the owner of programs by concern

Change: holdings.py takes over, tends and hands over partitions, queries.py answers queries, owner.py runs calls.

--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -181,7 +181,7 @@
             self.committers.run(),
             self.committers.tend(),
             self.schedulers.tick(),
-            self.owner.tend(),
+            self.owner.holdings.tend(),
             self.schedulers.watch_list(),
             self.schedulers.watch_load(),
             self.schedulers.give_orders(),
@@ -321,7 +321,7 @@
         try:
             async with asyncio.timeout_at(until_s):
                 await self._give_up_ownership()
-                await self.owner.close_all()
+                await self.owner.holdings.close_all()
                 await asyncio.sleep(timing.hold_s)
                 while self.entry.open_calls or self.owner.runs:
                     await asyncio.sleep(0.05)
@@ -355,6 +355,6 @@
         """Stops all parts at once; `leave` comes before it in a planned stop."""
         for runner in self._runners:
             await runner.cleanup()
-        self.owner.abort()
+        self.owner.holdings.abort()
         self.peers.close()
         await self.server.stop()
--- a/tests/node/programs/test_retention.py
+++ b/tests/node/programs/test_retention.py
@@ -18,7 +18,7 @@
 
 def state_of(s, program):
     node = s.fleet.nodes[s.owner(program)]
-    return node.owner.partitions[partition_of("ngo", program)].state
+    return node.owner.holdings.partitions[partition_of("ngo", program)].state
 
 
 async def test_ended_programs_are_dropped(session, snapshot):
@@ -32,7 +32,9 @@
         s.lines.clear()
         await asyncio.sleep(40)
         states = [
-            p.state for n in s.fleet.nodes.values() for p in n.owner.partitions.values()
+            p.state
+            for n in s.fleet.nodes.values()
+            for p in n.owner.holdings.partitions.values()
         ]
         assert sum(len(state.programs) for state in states) == 0
         assert sum(len(state.accounts) for state in states) == 1
