Wait for the successor of a failed owner instead of refusing within the rate

The caller's deadline still ends the wait. Ruled out: waiting while the table is down; an outage lasts minutes, and the refusal is truthful at once.

--- a/packages/node/src/damasksaddle_node/commit/client.py
+++ b/packages/node/src/damasksaddle_node/commit/client.py
@@ -8,6 +8,7 @@
     OwnerUnreachable,
     PeerError,
     Refusal,
+    StoreUnavailable,
 )
 from damasksaddle.platform import RowSequence, Table
 from damasksaddle.utils import get_log
@@ -22,7 +23,12 @@
 
 
 class CommitClient:
-    """Access to the commit streams of the fleet."""
+    """
+    Access to the commit streams of the fleet.
+
+    `store_is_down` tells that the last append failed at the table, and not on its
+    way to a committer that may have failed.
+    """
 
     def __init__(
         self,
@@ -32,6 +38,7 @@
         streams: int,
         timing: Timing,
     ) -> None:
+        self.store_is_down = False
         self._table = table
         self._fleet = fleet
         self._peers = peers
@@ -73,12 +80,15 @@
         """
         while True:
             try:
-                return await self.append(partition, records, opened_at)
+                position = await self.append(partition, records, opened_at)
+                self.store_is_down = False
+                return position
             except NotOwner as error:
                 if error.detail != "not the committer":
                     raise
             except (PeerError, Refusal) as error:
                 # Only `NotOwner` tells that the records cannot become durable.
+                self.store_is_down = isinstance(error, StoreUnavailable)
                 log.debug("An append is repeated.", partition=partition, reason=error)
             await asyncio.sleep(retry_s)
 
--- a/packages/node/src/damasksaddle_node/entry.py
+++ b/packages/node/src/damasksaddle_node/entry.py
@@ -54,9 +54,6 @@
 
 RETRY_S = 0.2
 MS = 1000
-# How long an entry VM looks for a program's owner, in leases: the old lease must
-# run out, be noticed, and be removed.
-OWNER_WAIT_LEASES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,7 +186,7 @@
         self, call: CallRequest, tries: "_Tries"
     ) -> AsyncGenerator[CallChunk | CallEnd, None]:
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + OWNER_WAIT_LEASES * self._timing.lease_s
+        until_s = loop.time() + self._timing.owner_wait_s
         while True:
             answered = False
             try:
--- a/packages/node/src/damasksaddle_node/limits/limiter.py
+++ b/packages/node/src/damasksaddle_node/limits/limiter.py
@@ -77,18 +77,20 @@
         """
         Returns after how many seconds one request of a workspace was admitted.
 
-        Raises `RateExceeded` or `OwnerUnreachable`; the request has then not run.
+        The time until an owner that failed has a successor does not count against
+        the workspace's longest wait, because the workspace did not cause it. Raises
+        `RateExceeded` or `OwnerUnreachable`; the request has then not run.
         """
         limits = self._fleet.state.workspace(workspace)
         if limits is None:
             raise RouteForbidden(f"no document declares workspace {workspace}")
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        until_s = started_s + limits.max_wait_ms / MS
+        max_wait_s = limits.max_wait_ms / MS
+        until_s = started_s + max(max_wait_s, self._timing.owner_wait_s)
         while True:
-            left_s = max(0.0, until_s - loop.time())
             try:
-                await self._ask(workspace, left_s)
+                await self._ask(workspace, max_wait_s)
                 return loop.time() - started_s
             except (PeerError, NotOwner, NotFresh, LeaseLapsed) as error:
                 # The owner has failed, changed or may not act now; its successor is
@@ -97,12 +99,13 @@
                     raise OwnerUnreachable(str(error), retry_after_s=1.0) from error
             await asyncio.sleep(RETRY_S)
 
-    async def _ask(self, workspace: str, left_s: float) -> None:
+    async def _ask(self, workspace: str, max_wait_s: float) -> None:
         owner = self._fleet.state.owners.workspace(workspace)
         if owner is None:
             raise OwnerUnreachable("the fleet has no members")
-        message = Acquire(workspace, int(left_s * MS))
-        await self._peers.request(owner, message, left_s + self._timing.peer_timeout_s)
+        message = Acquire(workspace, int(max_wait_s * MS))
+        timeout_s = max_wait_s + self._timing.peer_timeout_s
+        await self._peers.request(owner, message, timeout_s)
 
     async def on_acquire(self, message: Acquire, sender: Sender) -> Acquired:
         """Admits one request at the owner; raises `RateExceeded` or `NotOwner`."""
--- a/packages/node/src/damasksaddle_node/programs/holdings.py
+++ b/packages/node/src/damasksaddle_node/programs/holdings.py
@@ -44,6 +44,7 @@
 log = get_log("programs")
 
 OPEN_RETRY_S = 0.1
+# Tries while the table cannot be written.
 OPEN_TRIES = 20
 HANDOVER_TIMEOUT_S = 120.0
 TEND_PERIOD_S = 1.0
@@ -126,17 +127,23 @@
         return partition
 
     async def _append_opened(self, number: int) -> int:
-        for _ in range(OPEN_TRIES):
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self._services.settings.timing.owner_wait_s
+        store_tries = OPEN_TRIES
+        while loop.time() < until_s and store_tries:
             try:
                 return await self._commits.append(number, [], 0)
+            except StoreUnavailable:
+                store_tries -= 1
             except PartitionHeld as error:
                 await self._ask_handover(number, error.detail)
             except (EpochStale, NotOwner):
                 self._fleet.hint()
                 if self._fleet.state.owners.partition(number) != self._peers.vm_id:
                     raise
-            except (PeerError, StoreUnavailable, OwnerUnreachable):
-                pass
+            except (PeerError, OwnerUnreachable) as error:
+                # The committer or the former holder may have failed, too.
+                log.debug("A partition is not open yet.", number=number, reason=error)
             await asyncio.sleep(OPEN_RETRY_S)
         raise StoreUnavailable("the partition cannot be opened", retry_after_s=1.0)
 
--- a/packages/node/src/damasksaddle_node/programs/plain.py
+++ b/packages/node/src/damasksaddle_node/programs/plain.py
@@ -18,6 +18,7 @@
 from damasksaddle.utils import new_id
 from damasksaddle_node.programs.context import MAX_TRIES, MS, CallContext
 from damasksaddle_node.programs.outcome import finished_record, wait_durable
+from damasksaddle_node.programs.partition import Waiting
 from damasksaddle_node.programs.records import CallFinished, CallIntended, Outcome
 from damasksaddle_node.upstreams import PlainAnswer, PlainRequest
 from damasksaddle_protocol import Finish, Placed
@@ -117,7 +118,7 @@
         )
         waiting = self._context.partition.add(record)
         try:
-            if await wait_durable(self._context, waiting):
+            if await self._wait_for_intent(waiting):
                 return
         except FateUnknown as error:
             raise NotOwner from error
@@ -130,6 +131,15 @@
             "the call's intent could not be made durable", retry_after_s=1.0
         )
 
+    async def _wait_for_intent(self, waiting: Waiting) -> bool:
+        """Waits for the successor of a committer, but not for a table that is down."""
+        context = self._context
+        until_s = context.now_s() + context.services.settings.timing.owner_wait_s
+        while not await wait_durable(context, waiting):
+            if context.partition.commits.store_is_down or context.now_s() >= until_s:
+                return False
+        return True
+
     def _abandon(self, placed: Placed) -> None:
         """Records that an intended call was certainly not sent."""
         self._context.partition.add(
--- a/packages/node/src/damasksaddle_node/settings.py
+++ b/packages/node/src/damasksaddle_node/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+OWNER_WAIT_LEASES = 3
+
 
 @dataclass(frozen=True, slots=True)
 class Timing:
@@ -27,6 +29,15 @@
     stop_timeout_s: float = 600.0
     order_timeout_s: float = 10.0
 
+    @property
+    def owner_wait_s(self) -> float:
+        """
+        How long a request waits for the successor of an owner that failed.
+
+        The old lease must run out, be noticed, and be removed.
+        """
+        return OWNER_WAIT_LEASES * self.lease_s
+
 
 @dataclass(frozen=True, slots=True)
 class TlsFiles:
--- a/packages/standins/src/damasksaddle_standins/bench/scenario.py
+++ b/packages/standins/src/damasksaddle_standins/bench/scenario.py
@@ -229,7 +229,9 @@
         node = self.fleet.nodes[self._entry(plan.program_id)]
         with suppress(Refusal, TimeoutError):
             async with asyncio.timeout(30):
-                await node.entry.query(plan.workspace, plan.program_id, "end")
+                await node.entry.query(
+                    self.keys[plan.workspace], plan.program_id, "end"
+                )
 
     async def _program(self, plan: Plan) -> None:
         for number, turn in enumerate(plan.turns):
