Let the demo's callers stay with the address that answered

Cause: a third of the demo's calls first went to the VM that was killed, at every turn, which showed as five to eight retries a program. Change: a caller goes on with the address that last answered.

--- a/packages/standins/src/damasksaddle_standins/demo.py
+++ b/packages/standins/src/damasksaddle_standins/demo.py
@@ -74,6 +74,7 @@
     cost_micros: int = 0
     retries: int = 0
     unknown: bool = False
+    node: int = 0
     owners: list[str] = field(default_factory=list)
     upstreams: list[str] = field(default_factory=list)
 
@@ -208,6 +209,7 @@
         self, session: aiohttp.ClientSession, workspace: str, name: str, delay_s: float
     ) -> Result:
         result = Result(f"{workspace}/{name}")
+        result.node = self.deployment.workspaces.index(workspace) % len(self.nodes)
         started_s = time.monotonic()
         await asyncio.sleep(delay_s)
         for turn in range(1, self.deployment.turns + 1):
@@ -254,7 +256,7 @@
         body: dict[str, Any],
         result: Result,
     ) -> dict[str, Any]:
-        """Posts to one address after the other until one answers."""
+        """Posts to one address after the other until one answers, the last first."""
         headers = {
             "Authorization": f"Bearer {self._keys[workspace]}",
             "X-Damasksaddle-Program": program,
@@ -262,8 +264,8 @@
         }
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         problem = ""
-        for number in range(RETRIES):
-            node = self.nodes[(len(program) + number) % len(self.nodes)]
+        for _ in range(RETRIES):
+            node = self.nodes[result.node]
             try:
                 async with session.post(
                     node.ready[1] + path, json=body, headers=headers, timeout=timeout
@@ -276,6 +278,7 @@
             except (aiohttp.ClientError, TimeoutError) as error:
                 problem = repr(error)
             result.retries += 1
+            result.node = (result.node + 1) % len(self.nodes)
             await asyncio.sleep(0.25)
         raise RuntimeError(f"{workspace}/{program} {path}: {problem}")
 
