--- a/packages/node/src/damasksaddle_node/fleet/log.py
+++ b/packages/node/src/damasksaddle_node/fleet/log.py
@@ -12,6 +12,7 @@
 from damasksaddle.platform import Put, RowSequence, Table
 from damasksaddle.utils import get_log, new_id
 from damasksaddle_node.fleet.records import FleetRecord, dump_record, load_record
+from damasksaddle_node.fleet.snapshot import FleetSnapshots
 from damasksaddle_node.fleet.state import FleetState
 
 log = get_log("fleet")
@@ -30,8 +31,9 @@
     log was started; freshness counts from it.
     """
 
-    def __init__(self, table: Table, poll_s: float) -> None:
+    def __init__(self, table: Table, poll_s: float, snapshots: FleetSnapshots) -> None:
         self.state = FleetState()
+        self._snapshots = snapshots
         self.read_started_s = float("-inf")
         self._rows = RowSequence(table, "fleet")
         self._poll_s = poll_s
@@ -48,6 +50,8 @@
         """Reads and applies to the end of the log; raises `TableUnavailable`."""
         loop = asyncio.get_running_loop()
         async with self._reading:
+            if not self.state.cursor:
+                await self._start_from_snapshot()
             while True:
                 started_s = loop.time()
                 rows = await self._rows.read_after(self.state.cursor, READ_LIMIT)
@@ -59,9 +63,24 @@
         async with self._moved:
             self._moved.notify_all()
 
+    async def _start_from_snapshot(self) -> None:
+        snapshot = await self._snapshots.load()
+        if snapshot is None:
+            return
+        for record in snapshot.records:
+            self._fold(snapshot.cursor, record)
+        self.state.epoch = snapshot.epoch
+
+    async def keep_snapshots(self) -> None:
+        """Writes snapshots when this VM is the one that does so."""
+        await self._snapshots.keep(self.state)
+
     def _apply(self, position: int, record: FleetRecord) -> None:
         if position != self.state.cursor + 1:
             raise TableUnavailable(f"fleet/{position}: an earlier row is not visible")
+        self._fold(position, record)
+
+    def _fold(self, position: int, record: FleetRecord) -> None:
         self.state.apply(position, record)
         for listener in self._listeners:
             listener(record)
--- a/packages/node/src/damasksaddle_node/fleet/ownership.py
+++ b/packages/node/src/damasksaddle_node/fleet/ownership.py
@@ -35,6 +35,10 @@
         """Returns the committer of a stream."""
         return self._owner(f"stream/{stream}")
 
+    def fleet_snapshot(self) -> str | None:
+        """Returns the VM that writes snapshots of the fleet log."""
+        return self._owner("fleet-snapshot")
+
     def pool(self, pool: str) -> str | None:
         """Returns the VM that schedules a pool, named `SERVICE/POOL`."""
         return self._owner(f"pool/{pool}")
--- a/packages/node/src/damasksaddle_node/fleet/state.py
+++ b/packages/node/src/damasksaddle_node/fleet/state.py
@@ -136,6 +136,29 @@
         kept.append(version)
         del kept[:-HISTORY_KEPT]
 
+    def records(self) -> list[FleetRecord]:
+        """Returns records that fold into this state, apart from cursor and epoch."""
+        members = self.members.values()
+        found: list[FleetRecord] = [
+            VmJoined(m.vm_id, m.failure_domain, m.peer_address, m.http_url)
+            for m in members
+        ]
+        found += [VmLeaving(member.vm_id) for member in members if member.leaving]
+        for service, versions in self.history.items():
+            found += [
+                DocumentApplied(
+                    service, v.version, v.text, v.operator, v.at_unix_s, v.document
+                )
+                for v in versions
+            ]
+        for key in self.keys.values():
+            found.append(
+                KeyGiven(key.key_id, key.workspace, key.digest, "", key.given_at_unix_s)
+            )
+            if key.withdrawn_at_unix_s is not None:
+                found.append(KeyWithdrawn(key.key_id, "", key.withdrawn_at_unix_s))
+        return found
+
     def document(self, service: str) -> ServiceDocument | None:
         """Returns the document in force of a service."""
         version = self.documents.get(service)
--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -29,6 +29,7 @@
     VmLeaving,
     VmLeft,
 )
+from damasksaddle_node.fleet.snapshot import FleetSnapshots
 from damasksaddle_node.fleet.state import FleetState
 from damasksaddle_node.fleet.vouching import Vouching
 from damasksaddle_node.http.admin import AdminApi, admin_app
@@ -84,7 +85,9 @@
         self._table = table
         self._runners: list[web.AppRunner] = []
         timing = settings.timing
-        self.fleet = FleetLog(table, timing.poll_s)
+        self.fleet = FleetLog(
+            table, timing.poll_s, FleetSnapshots(self.vm_id, table, objects)
+        )
         self.handlers = Handlers()
         self.server = PeerServer(
             self.vm_id, settings.fleet_secret, network, self.handlers, self._epoch
@@ -175,6 +178,7 @@
         await self._join()
         for part in (
             self.fleet.tail(),
+            self.fleet.keep_snapshots(),
             self.lease.keep(),
             self.vouching.keep(),
             self.detector.watch(),
--- /dev/null
+++ b/tests/node/fleet/test_fleet_snapshot.py
@@ -0,0 +1,56 @@
+"""Snapshots of the fleet log."""
+
+from damasksaddle_node.fleet import snapshot
+from damasksaddle_node.fleet.records import KeyGiven, KeyWithdrawn
+from damasksaddle_standins.fleet import LocalFleet
+
+DOCUMENT = """
+service: desk
+pools:
+  apps:
+    kind: plain
+    upstreams: [{name: app-1, url: "http://app-1", failure_domain: a}]
+routes:
+  act: {pool: apps}
+workspaces:
+  ngo: {rate_per_s: 10, burst: 10}
+"""
+
+
+async def test_start_needs_only_snapshot_and_tail(monkeypatch):
+    """Guards against a start that reads the whole log, or serves an older state."""
+    monkeypatch.setattr(snapshot, "SNAPSHOT_RECORDS", 20)
+    async with LocalFleet(3) as fleet:
+        await fleet.apply("desk", DOCUMENT)
+        log = fleet.any().fleet
+        for number in range(30):
+            key = KeyGiven(f"k{number}", "ngo", "d", "op", number)
+            await log.append(lambda state, key=key: key)
+        await log.append(lambda state: KeyWithdrawn("k7", "op", 99))
+        await fleet.sleep(25)
+        covered = int(fleet.table.rows[snapshot.POINTER_KEY].value)
+        assert covered > 30
+        await log.append(lambda state: KeyWithdrawn("k8", "op", 99))
+        await log.catch_up()
+        for name in list(fleet.table.rows):
+            if name.startswith("fleet/") and int(name[6:]) <= covered:
+                del fleet.table.rows[name]
+        before = fleet.table.counts["scan"]
+        started = (await fleet.start("vm3")).fleet.state
+        await fleet.settle()
+        assert fleet.table.counts["scan"] - before < 30
+        known = fleet.any().fleet.state
+        assert started.records() == known.records()
+        assert (started.cursor, started.epoch) == (known.cursor, known.epoch)
+        assert [key for key in started.keys if not started.key_is_valid(key)] == [
+            "k7",
+            "k8",
+        ]
+
+
+async def test_start_without_the_object_store():
+    """Guards against a node that cannot start while only snapshots are missing."""
+    async with LocalFleet(2) as fleet:
+        fleet.objects.down = True
+        node = await fleet.start("vm2")
+        assert len(node.fleet.state.members) == 3
