Let wait_for alone decide whether there is anything to wait for

Cause: six handlers compared the sender's epoch with their own before they called FleetLog.wait_for, which returns at once if the position is applied. Change: they call it without the comparison. An epoch is a position of the log, so a node that has applied it has that epoch or a newer one. Conclusion: behaviour is the same; 177 tests pass, no golden file changes.

--- a/packages/node/src/damasksaddle_node/commit/committer.py
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -324,8 +324,7 @@
 
     async def on_append(self, message: Append, sender: Sender) -> Appended:
         """Appends records of one partition; raises `Refusal` if not written."""
-        if sender.epoch > self._fleet.state.epoch:
-            await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
+        await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
         stream = self.streams[message.partition % len(self.streams)]
         if not stream.is_mine():
             raise NotOwner("not the committer")
--- a/packages/node/src/damasksaddle_node/limits/limiter.py
+++ b/packages/node/src/damasksaddle_node/limits/limiter.py
@@ -110,8 +110,7 @@
     async def on_acquire(self, message: Acquire, sender: Sender) -> Acquired:
         """Admits one request at the owner; raises `RateExceeded` or `NotOwner`."""
         started_s = asyncio.get_running_loop().time()
-        if sender.epoch > self._fleet.state.epoch:
-            await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
+        await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
         self._check_owner(message.workspace)
         bucket = await self._bucket(message.workspace)
         await bucket.acquire(message.max_wait_ms / MS)
@@ -189,8 +188,7 @@
 
     async def on_handover(self, message: BucketHandover, sender: Sender) -> BucketLevel:
         """Stops granting for a workspace and returns what is left."""
-        if sender.epoch > self._fleet.state.epoch:
-            await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
+        await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
         if self._fleet.state.owners.workspace(message.workspace) == self._peers.vm_id:
             raise EpochStale
         return BucketLevel(self._retired_levels.pop(message.workspace, -1.0))
--- a/packages/node/src/damasksaddle_node/pools/owner.py
+++ b/packages/node/src/damasksaddle_node/pools/owner.py
@@ -81,8 +81,7 @@
         handlers.add(Register, self.on_register)
 
     async def _owned(self, name: str, sender: Sender) -> PoolScheduler:
-        if sender.epoch > self._fleet.state.epoch:
-            await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
+        await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
         return self._scheduler(name)
 
     def _scheduler(self, name: str) -> PoolScheduler:
--- a/packages/node/src/damasksaddle_node/programs/holdings.py
+++ b/packages/node/src/damasksaddle_node/programs/holdings.py
@@ -155,10 +155,9 @@
 
     async def on_handover(self, message: Handover, sender: Sender) -> Ok:
         """Finishes a partition's calls and closes it for its new owner."""
-        if sender.epoch > self._fleet.state.epoch:
-            await self._fleet.wait_for(
-                sender.epoch, self._services.settings.timing.peer_timeout_s
-            )
+        await self._fleet.wait_for(
+            sender.epoch, self._services.settings.timing.peer_timeout_s
+        )
         if self._fleet.state.owners.partition(message.partition) == self._peers.vm_id:
             raise EpochStale
         await self.close(message.partition)
--- a/packages/node/src/damasksaddle_node/programs/owner.py
+++ b/packages/node/src/damasksaddle_node/programs/owner.py
@@ -65,10 +65,9 @@
         self, call: CallRequest, sender: Sender
     ) -> AsyncGenerator[CallChunk | CallEnd, None]:
         """Yields the answer of a call; raises `Refusal`."""
-        if sender.epoch > self._fleet.state.epoch:
-            await self._fleet.wait_for(
-                sender.epoch, self._services.settings.timing.peer_timeout_s
-            )
+        await self._fleet.wait_for(
+            sender.epoch, self._services.settings.timing.peer_timeout_s
+        )
         self._services.guard()
         route = self._fleet.state.route(call.service, call.route)
         document = self._fleet.state.document(call.service)
