--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -6,7 +6,9 @@
 the system's own parts, and never reach a caller as they are.
 """
 
+from collections.abc import Sequence
 from enum import StrEnum
+from typing import Any
 
 
 class NotRun(StrEnum):
@@ -292,7 +294,19 @@
 
 
 class RowTaken(PlatformError):
-    """A conditional write found another version of the row."""
+    """
+    A conditional write found another version of the row.
+
+    `rows` are the current rows, where the table tells them.
+    """
+
+    def __init__(self, detail: str = "", rows: Sequence[Any] = ()) -> None:
+        super().__init__(detail)
+        self.rows = rows
+
+
+class HistoryForgotten(PlatformError):
+    """The table no longer knows the changes that were asked for; read it all."""
 
 
 class ObjectMissing(PlatformError):
--- a/packages/core/src/damasksaddle/platform/__init__.py
+++ b/packages/core/src/damasksaddle/platform/__init__.py
@@ -5,10 +5,13 @@
 from damasksaddle.platform.interfaces import (
     ListedVm,
     Objects,
+    Page,
     Put,
     Row,
     Table,
+    VersionedTable,
     VmList,
+    row_key,
 )
 from damasksaddle.platform.sequence import RowSequence
 
@@ -19,9 +22,12 @@
     "HttpVmList",
     "ListedVm",
     "Objects",
+    "Page",
     "Put",
     "Row",
     "RowSequence",
     "Table",
+    "VersionedTable",
     "VmList",
+    "row_key",
 ]
--- a/packages/core/src/damasksaddle/platform/interfaces.py
+++ b/packages/core/src/damasksaddle/platform/interfaces.py
@@ -6,12 +6,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """A row of the table; `version` starts at 1 and grows by 1 with each write."""
+    """
+    A row of the table; `version` grows with each write.
+
+    `deleted` is set only in `Page`s of changes, for rows that are gone.
+    """
 
     key: str
     value: str
     version: int
-    write_id: str
+    write_id: str = ""
+    deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """
+    Rows as of one moment.
+
+    `version` is the newest version of the whole table service, `now_ms` its steady
+    clock, and `complete` is false if rows of the range are left out.
+    """
+
+    rows: list[Row]
+    version: int
+    now_ms: int
+    complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +75,41 @@
     async def write(self, puts: list[Put], write_id: str) -> None: ...
 
 
+class VersionedTable(Protocol):
+    """
+    A transactional table with one version counter and a feed of changes.
+
+    Keys are `TABLE/PART/KEY`, as `row_key` builds them; all rows of one write share
+    a part. All methods raise `TableUnavailable` if the request was not taken.
+    """
+
+    async def page(self, prefix: str, after: str = "", limit: int = 500) -> Page:
+        """Returns the rows of a `TABLE/PART/` whose key sorts after `after`."""
+        ...
+
+    async def changes(self, table: str, after_version: int, wait_s: float) -> Page:
+        """
+        Returns what changed in a table, waiting until something does.
+
+        Raises `HistoryForgotten` if the changes are no longer known.
+        """
+        ...
+
+    async def commit(self, puts: list[Put]) -> Page:
+        """
+        Applies all puts or none, and returns a page without rows.
+
+        Raises `RowTaken` with the current rows on a conflict, and `AnswerLost` if
+        the write may or may not have taken effect.
+        """
+        ...
+
+
+def row_key(table: str, part: str, key: str) -> str:
+    """Returns the key of a row of a `VersionedTable`."""
+    return f"{table}/{part}/{key}"
+
+
 class Objects(Protocol):
     """The platform's object store; raises `TableUnavailable` or `ObjectMissing`."""
 
--- a/packages/core/src/damasksaddle/utils/__init__.py
+++ b/packages/core/src/damasksaddle/utils/__init__.py
@@ -1,6 +1,6 @@
 """Small helpers without state."""
 
-from damasksaddle.utils.clock import unix_s
+from damasksaddle.utils.clock import elapsed_s, unix_s
 from damasksaddle.utils.hashing import PARTITIONS, digest_of, partition_of, rendezvous
 from damasksaddle.utils.ids import new_id, seed_ids
 from damasksaddle.utils.logs import get_log, set_up_logs
@@ -19,6 +19,7 @@
     "Timing",
     "count",
     "digest_of",
+    "elapsed_s",
     "get_log",
     "measure",
     "new_id",
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -0,0 +1,239 @@
+"""
+Token budgets of programs, over all VMs and restarts.
+
+A row per program holds how many tokens were granted to VMs and how many of these are
+known to be spent. A VM takes a block by compare-and-set before a turn runs, so no
+two VMs can spend the same token. What a VM took and did not report as spent counts as
+spent when the VM is lost. A VM gives back what it does not use soon after the turn.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from mode import Service
+
+from damasksaddle.exceptions import (
+    AnswerLost,
+    BudgetExceeded,
+    StoreUnavailable,
+    TableUnavailable,
+)
+from damasksaddle.platform import VersionedTable, row_key
+from damasksaddle.utils import elapsed_s, get_log, partition_of
+from damasksaddle_gateway.rows import CachedRow, change_row
+
+log = get_log("budgets")
+
+TABLE = "budgets"
+# Parts of the table that the rows are spread over; a part takes one write at a time.
+PARTS = 32
+# A block covers this many turns of the largest size, if the budget is ample.
+TURNS_AHEAD = 2
+# Blocks larger than one turn are taken only while this share of the budget is left.
+AMPLE_SHARE = 0.5
+# Unused tokens go back after this time without a turn. Tools between two turns
+# mostly take less, and the bound for settling is a second.
+GIVE_BACK_S = 0.4
+# How often a program that waits for other VMs to settle looks again.
+SETTLE_POLL_S = 0.2
+STORE_RETRY_S = 0.5
+MAX_LEDGERS = 4096
+
+
+@dataclass(slots=True)
+class Ledger:
+    """One program's tokens at this VM."""
+
+    row: CachedRow
+    held: int = 0
+    running: int = 0
+    unreported: int = 0
+    used_s: float = 0.0
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    give_back: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Tokens set aside for one turn."""
+
+    ledger: Ledger
+    program: str
+    tokens: int
+
+
+class Budgets(Service):
+    """Reserves tokens for turns, and settles what they used."""
+
+    def __init__(self, table: VersionedTable, settle_s: float) -> None:
+        super().__init__()
+        self._table = table
+        self._settle_s = settle_s
+        self._ledgers: OrderedDict[str, Ledger] = OrderedDict()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def reserve(
+        self, workspace: str, program: str, budget: int, most: int, patience_s: float
+    ) -> Reservation:
+        """
+        Sets aside the most tokens that one turn may generate.
+
+        Waits at most `patience_s` for other turns to settle if the budget may hold
+        this one then. Raises `BudgetExceeded`, or `StoreUnavailable` if the store
+        cannot tell.
+        """
+        ledger = self._ledger(workspace, program)
+        give_up_s = elapsed_s() + min(patience_s, self._settle_s)
+        ledger.running += 1
+        try:
+            while not await self._try_reserve(ledger, budget, most):
+                spent = self._spent(ledger)
+                if spent + most > budget or elapsed_s() >= give_up_s:
+                    log.info(
+                        "The budget is spent.",
+                        program=program,
+                        budget=budget,
+                        spent=spent,
+                        granted=self._granted(ledger),
+                        most=most,
+                    )
+                    raise BudgetExceeded
+                await asyncio.sleep(SETTLE_POLL_S)
+        except BaseException:
+            self._ended(ledger)
+            raise
+        return Reservation(ledger, program, most)
+
+    def settle(self, reservation: Reservation, used: int) -> None:
+        """Books what a turn used, and frees the rest of its reservation."""
+        ledger = reservation.ledger
+        ledger.held += reservation.tokens - used
+        ledger.unreported += used
+        self._ended(ledger)
+
+    def _ended(self, ledger: Ledger) -> None:
+        ledger.running -= 1
+        ledger.used_s = elapsed_s()
+        if not ledger.running and not self.should_stop:
+            self._schedule_give_back(ledger)
+
+    def _ledger(self, workspace: str, program: str) -> Ledger:
+        name = f"{workspace}/{program}"
+        ledger = self._ledgers.get(name)
+        if ledger is None:
+            part = f"{partition_of(workspace, program) % PARTS:02d}"
+            ledger = Ledger(CachedRow(row_key(TABLE, part, name.replace("/", "|"))))
+            self._ledgers[name] = ledger
+            self._drop_idle()
+        self._ledgers.move_to_end(name)
+        return ledger
+
+    def _drop_idle(self) -> None:
+        for name in list(self._ledgers):
+            if len(self._ledgers) <= MAX_LEDGERS:
+                return
+            ledger = self._ledgers[name]
+            if not ledger.running and not ledger.held and not ledger.unreported:
+                del self._ledgers[name]
+
+    @staticmethod
+    def _granted(ledger: Ledger) -> int:
+        return ledger.row.value["granted"] if ledger.row.value else 0
+
+    @staticmethod
+    def _spent(ledger: Ledger) -> int:
+        reported = ledger.row.value["spent"] if ledger.row.value else 0
+        return reported + ledger.unreported
+
+    async def _try_reserve(self, ledger: Ledger, budget: int, most: int) -> bool:
+        async with ledger.lock:
+            if ledger.held < most:
+                await self._take(ledger, budget, most)
+            if ledger.held < most:
+                return False
+            ledger.held -= most
+            return True
+
+    async def _take(self, ledger: Ledger, budget: int, most: int) -> None:
+        asked = 0
+        unreported = ledger.unreported
+
+        def take(value: dict[str, Any] | None) -> dict[str, Any] | None:
+            nonlocal asked
+            granted = value["granted"] if value else 0
+            spent = value["spent"] if value else 0
+            asked = most - ledger.held
+            ahead = most * TURNS_AHEAD - ledger.held
+            if granted + ahead <= budget * AMPLE_SHARE:
+                asked = ahead
+            if granted + asked > budget:
+                return None
+            return {"granted": granted + asked, "spent": spent + unreported}
+
+        if await self._change(ledger, take, unreported):
+            ledger.held += asked
+
+    async def _change(
+        self,
+        ledger: Ledger,
+        change: Callable[[dict[str, Any] | None], dict[str, Any] | None],
+        unreported: int,
+    ) -> bool:
+        try:
+            written, _ = await change_row(self._table, ledger.row, change)
+        except AnswerLost as error:
+            # Spent tokens that are reported twice could end a program too early.
+            # Those that are never reported still count as granted.
+            ledger.unreported -= unreported
+            log.warning("Granted tokens may be lost.", row=ledger.row.key)
+            raise StoreUnavailable(retry_after_s=STORE_RETRY_S) from error
+        except TableUnavailable as error:
+            raise StoreUnavailable(retry_after_s=STORE_RETRY_S) from error
+        if written:
+            ledger.unreported -= unreported
+        return written
+
+    def _schedule_give_back(self, ledger: Ledger) -> None:
+        if ledger.give_back is not None:
+            ledger.give_back.cancel()
+        ledger.give_back = asyncio.get_running_loop().call_later(
+            GIVE_BACK_S, self._start_give_back, ledger
+        )
+
+    def _start_give_back(self, ledger: Ledger) -> None:
+        task = asyncio.create_task(self._give_back(ledger))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _give_back(self, ledger: Ledger) -> None:
+        async with ledger.lock:
+            if ledger.running or not (ledger.held or ledger.unreported):
+                return
+            unused, ledger.held = ledger.held, 0
+            unreported = ledger.unreported
+
+            def give(value: dict[str, Any] | None) -> dict[str, Any] | None:
+                if value is None:
+                    return None
+                return {
+                    "granted": value["granted"] - unused,
+                    "spent": value["spent"] + unreported,
+                }
+
+            try:
+                await self._change(ledger, give, unreported)
+            except StoreUnavailable as error:
+                if not isinstance(error.__cause__, AnswerLost):
+                    ledger.held += unused
+                    self._schedule_give_back(ledger)
+
+    async def on_stop(self) -> None:
+        """Gives back what this VM holds, as far as the store answers."""
+        for ledger in self._ledgers.values():
+            if ledger.held or ledger.unreported:
+                self._start_give_back(ledger)
+        if self._tasks:
+            await asyncio.wait(list(self._tasks), timeout=0.5)
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/events.py
@@ -0,0 +1,46 @@
+"""Splits a stream of server-sent events at their ends."""
+
+SEPARATOR = b"\n\n"
+_ID_FIELD = b"id:"
+
+
+class EventSplitter:
+    """
+    Collects bytes and returns whole events.
+
+    What a connection carried after the last whole event is never passed on, so a
+    stream that breaks inside an event can be continued after the one before.
+
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
+    [b'id: 1\\ndata: a\\n\\n']
+    >>> splitter.last_id
+    '1'
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.last_id = ""
+        self.count = 0
+
+    @property
+    def partial(self) -> bool:
+        """Tells whether an event was begun and has not ended."""
+        return bool(self._rest)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the events that are whole now."""
+        *events, self._rest = (self._rest + data).split(SEPARATOR)
+        for event in events:
+            self._note(event)
+        return [event + SEPARATOR for event in events]
+
+    def reset(self) -> None:
+        """Drops the partial event, before a stream goes on elsewhere."""
+        self._rest = b""
+
+    def _note(self, event: bytes) -> None:
+        self.count += 1
+        for line in event.split(b"\n"):
+            if line.startswith(_ID_FIELD):
+                self.last_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -0,0 +1,408 @@
+"""
+Serves callers: admits a request, finds an upstream for it and passes the answer on.
+
+A refusal with status 429, 503 or 402 is sent only for a request that did not run and
+will not run. As soon as a request may have run, what is left is its answer, 502 or
+504, or a connection that ends early.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aiohttp import hdrs, web
+
+from damasksaddle.exceptions import (
+    BodyTooLarge,
+    DeadlineExceeded,
+    FateUnknown,
+    KeyRejected,
+    NotFresh,
+    Refusal,
+    RouteNotFound,
+    UpstreamUnavailable,
+)
+from damasksaddle.utils import elapsed_s, get_log
+from damasksaddle_gateway.budgets import Budgets, Reservation
+from damasksaddle_gateway.catalogue import (
+    AtMostOnce,
+    Catalogue,
+    Repeatable,
+    Route,
+    Service,
+    Streaming,
+    Upstream,
+    Workspace,
+    is_repeatable,
+)
+from damasksaddle_gateway.events import EventSplitter
+from damasksaddle_gateway.interfaces import RequestFacts, Wire
+from damasksaddle_gateway.placement import Placement
+from damasksaddle_gateway.rates import Rates
+from damasksaddle_gateway.upstreams import (
+    Answer,
+    BrokenOff,
+    NotReached,
+    NotTaken,
+    UpstreamClient,
+)
+from damasksaddle_gateway.view import View
+
+log = get_log("front")
+
+# A key may work for this share of the bound on revocation after the last proof; the
+# rest covers the time between a read's sending and the change that it missed.
+KEY_FRESH_SHARE = 0.75
+# Retry-After of refusals that pass by themselves.
+NOT_FRESH_RETRY_S = 0.5
+NO_UPSTREAM_RETRY_S = 0.2
+# The part of a request's time that may be spent on waiting for its budget.
+BUDGET_PATIENCE_SHARE = 0.2
+# The answer to a request that has run out of time should leave a little earlier.
+ANSWER_MARGIN_S = 0.02
+
+
+@dataclass(slots=True)
+class Call:
+    """A request on its way; `ends_s` is when its time is over."""
+
+    facts: RequestFacts
+    route: Route
+    service: Service
+    workspace: Workspace | None
+    method: str
+    raw_path: str
+    body: bytes
+    began_s: float
+    ends_s: float
+    last_event_id: str
+    attempts: int = 0
+    tried: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+    tokens_used: int = 0
+    reservation: Reservation | None = None
+    events: EventSplitter = field(default_factory=EventSplitter)
+    response: web.StreamResponse | None = None
+
+    def time_left_s(self) -> float:
+        return self.ends_s - elapsed_s()
+
+
+class Front:
+    """Handles the requests of callers."""
+
+    def __init__(
+        self,
+        view: View,
+        rates: Rates,
+        budgets: Budgets,
+        placement: Placement,
+        upstreams: UpstreamClient,
+        wire: Wire,
+        key_revocation_ms: float,
+    ) -> None:
+        self._view = view
+        self._rates = rates
+        self._budgets = budgets
+        self._placement = placement
+        self._upstreams = upstreams
+        self._wire = wire
+        self._key_fresh_s = key_revocation_ms / 1000 * KEY_FRESH_SHARE
+        self.leaving = False
+        self.running = 0
+
+    def is_ready(self) -> bool:
+        """Tells whether this VM should get new requests."""
+        return (
+            not self.leaving
+            and self._view.catalogue is not None
+            and self._view.config_age_s() < self._key_fresh_s
+        )
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request of a caller."""
+        began_s = elapsed_s()
+        facts = self._wire.request(request.headers)
+        self.running += 1
+        try:
+            call = await self._admit(request, facts, began_s)
+            return await self._serve(request, call)
+        except Refusal as error:
+            return self._refuse(facts, error, began_s)
+        except asyncio.CancelledError:
+            log.info("The caller left.", request=facts.request_id)
+            raise
+        finally:
+            self.running -= 1
+
+    def _refuse(
+        self, facts: RequestFacts, error: Refusal, began_s: float
+    ) -> web.Response:
+        log.info(
+            "Refused a request.",
+            request=facts.request_id,
+            program=facts.program.id if facts.program else "",
+            code=error.code,
+            status=error.status,
+            not_run=error.not_run,
+            retry_after_s=error.retry_after_s,
+            config=self._view.catalogue.version if self._view.catalogue else 0,
+            config_age_s=round(self._view.config_age_s(), 3),
+            after_ms=round((elapsed_s() - began_s) * 1000),
+            detail=error.detail,
+        )
+        response = web.Response(status=error.status, text=error.code)
+        if error.retry_after_s is not None:
+            response.headers[hdrs.RETRY_AFTER] = f"{error.retry_after_s:.3f}"
+        return self._finished(response)
+
+    def _finished(self, response: web.Response) -> web.Response:
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def _admit(
+        self, request: web.BaseRequest, facts: RequestFacts, began_s: float
+    ) -> Call:
+        body = await request.read()
+        catalogue = self._fresh_catalogue()
+        raw_path = request.raw_path
+        path = raw_path.partition("?")[0]
+        route = catalogue.route(request.headers.get(hdrs.HOST, ""), path)
+        if route is None:
+            raise RouteNotFound
+        if len(body) > catalogue.limits.max_body_bytes:
+            raise BodyTooLarge
+        workspace = None
+        if not route.open_to_all:
+            workspace = catalogue.workspace(facts.key)
+            if workspace is None:
+                raise KeyRejected
+        service = catalogue.services.get(route.service_for(facts.request_id))
+        if service is None:
+            raise UpstreamUnavailable(retry_after_s=NO_UPSTREAM_RETRY_S)
+        time_ms = min(route.timeout_ms, facts.deadline_ms or route.timeout_ms)
+        call = Call(
+            facts=facts,
+            route=route,
+            service=service,
+            workspace=workspace,
+            method=request.method,
+            raw_path=raw_path,
+            body=body,
+            began_s=began_s,
+            ends_s=began_s + time_ms / 1000 - ANSWER_MARGIN_S,
+            last_event_id=facts.last_event_id,
+        )
+        if workspace is not None:
+            await self._rates.acquire(workspace)
+        return call
+
+    def _fresh_catalogue(self) -> Catalogue:
+        catalogue = self._view.catalogue
+        if catalogue is None or self._view.config_age_s() >= self._key_fresh_s:
+            raise NotFresh(retry_after_s=NOT_FRESH_RETRY_S)
+        return catalogue
+
+    async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
+        try:
+            async with asyncio.timeout(max(0.0, call.time_left_s())):
+                await self._reserve(call)
+                return await self._try_upstreams(request, call)
+        except TimeoutError as error:
+            if call.response is not None:
+                return self._break_off(request, call, "timeout")
+            raise self._out_of_time(call) from error
+        except Refusal:
+            if call.response is not None:
+                return self._break_off(request, call, "failed")
+            raise
+        finally:
+            self._settle(call)
+
+    @staticmethod
+    def _out_of_time(call: Call) -> Refusal:
+        if call.may_have_run:
+            return DeadlineExceeded()
+        return UpstreamUnavailable(retry_after_s=NO_UPSTREAM_RETRY_S)
+
+    async def _reserve(self, call: Call) -> None:
+        program = call.facts.program
+        if program is None or program.budget_tokens is None or call.workspace is None:
+            return
+        if not isinstance(call.route.kind, Streaming):
+            return
+        call.reservation = await self._budgets.reserve(
+            call.workspace.name,
+            program.id,
+            program.budget_tokens,
+            call.facts.max_output_tokens,
+            call.time_left_s() * BUDGET_PATIENCE_SHARE,
+        )
+
+    def _settle(self, call: Call) -> None:
+        if call.reservation is not None:
+            used = min(call.tokens_used, call.reservation.tokens)
+            self._budgets.settle(call.reservation, used)
+        if not call.may_have_run and call.workspace is not None:
+            self._rates.give_back(call.workspace)
+
+    async def _try_upstreams(
+        self, request: web.BaseRequest, call: Call
+    ) -> web.StreamResponse:
+        """Tries upstreams until one answers, as far as the route allows."""
+        while True:
+            upstream = self._next_upstream(call)
+            standing = self._placement.standing(upstream)
+            standing.outstanding += 1
+            try:
+                return await self._try_one(request, call, upstream)
+            except NotReached as error:
+                self._placement.failed(upstream)
+                self._log_try(call, upstream, "not_reached", error)
+            except NotTaken as error:
+                self._placement.full(upstream)
+                self._log_try(call, upstream, "not_taken", error)
+            except BrokenOff as error:
+                self._placement.failed(upstream)
+                self._log_try(call, upstream, "broken_off", error)
+                self._check_repeat(call)
+            finally:
+                standing.outstanding -= 1
+
+    def _next_upstream(self, call: Call) -> Upstream:
+        if call.workspace is not None:
+            # A key may have been withdrawn while the request waited.
+            self._fresh_catalogue()
+        candidates = [
+            upstream
+            for upstream in self._view.of_service(call.service.name)
+            if upstream.id not in call.tried
+        ]
+        upstream = self._placement.choose(candidates, call.service, call.facts)
+        if upstream is None:
+            if call.may_have_run:
+                raise FateUnknown
+            raise UpstreamUnavailable(
+                f"tried {len(call.tried)}", retry_after_s=NO_UPSTREAM_RETRY_S
+            )
+        call.tried.append(upstream.id)
+        return upstream
+
+    def _check_repeat(self, call: Call) -> None:
+        """Raises unless another upstream may run the request after a broken try."""
+        if not is_repeatable(call.route.kind):
+            raise FateUnknown
+        if call.attempts >= call.route.max_attempts:
+            raise FateUnknown
+
+    async def _try_one(
+        self, request: web.BaseRequest, call: Call, upstream: Upstream
+    ) -> web.StreamResponse:
+        headers = self._wire.upstream_headers(
+            call.facts,
+            upstream,
+            call.workspace,
+            call.time_left_s() * 1000,
+            call.last_event_id,
+            None,
+        )
+        sent = self._upstreams.send(
+            upstream,
+            call.method,
+            call.raw_path,
+            headers,
+            call.body,
+            call.facts.request_id,
+        )
+        before = call.may_have_run
+        call.may_have_run = True
+        call.attempts += 1
+        try:
+            async with sent as answer:
+                match call.route.kind:
+                    case Streaming() if answer.status == web.HTTPOk.status_code:
+                        response = await self._relay_events(request, call, answer)
+                    case Streaming() | Repeatable() | AtMostOnce():
+                        response = await self._relay_whole(call, answer)
+        except (NotReached, NotTaken):
+            call.may_have_run = before
+            call.attempts -= 1
+            raise
+        self._placement.succeeded(upstream)
+        self._log_try(call, upstream, str(response.status), None)
+        return response
+
+    async def _relay_whole(self, call: Call, answer: Answer) -> web.StreamResponse:
+        body = await answer.body()
+        if call.response is not None:
+            raise FateUnknown("the upstream refused to go on with the stream")
+        headers = self._wire.answer_headers(answer.headers)
+        return self._finished(
+            web.Response(status=answer.status, headers=headers, body=body)
+        )
+
+    async def _relay_events(
+        self, request: web.BaseRequest, call: Call, answer: Answer
+    ) -> web.StreamResponse:
+        call.events.reset()
+        engine = call.service.engine
+        tokens_per_event = engine.tokens_per_event if engine else 0
+        async for chunk in answer.chunks():
+            for event in call.events.feed(chunk):
+                response = await self._start_stream(request, call, answer)
+                call.tokens_used += tokens_per_event
+                await response.write(event)
+            if call.events.last_id:
+                call.last_event_id = call.events.last_id
+        if call.events.partial:
+            raise BrokenOff("the stream ended inside an event")
+        response = await self._start_stream(request, call, answer)
+        await response.write_eof()
+        return response
+
+    async def _start_stream(
+        self, request: web.BaseRequest, call: Call, answer: Answer
+    ) -> web.StreamResponse:
+        if call.response is None:
+            headers = self._wire.answer_headers(answer.headers)
+            response = web.StreamResponse(status=answer.status, headers=headers)
+            response.enable_chunked_encoding()
+            if self.leaving:
+                response.force_close()
+            call.response = response
+            await response.prepare(request)
+        return call.response
+
+    def _break_off(
+        self, request: web.BaseRequest, call: Call, reason: str
+    ) -> web.StreamResponse:
+        """Ends a begun answer so that it does not look complete."""
+        log.info(
+            "Broke off an answer.",
+            request=call.facts.request_id,
+            reason=reason,
+            events=call.events.count,
+        )
+        assert call.response is not None
+        if request.transport is not None:
+            request.transport.close()
+        return call.response
+
+    def _log_try(
+        self, call: Call, upstream: Upstream, outcome: str, error: Exception | None
+    ) -> None:
+        log.info(
+            "An upstream was tried.",
+            request=call.facts.request_id,
+            program=call.facts.program.id if call.facts.program else "",
+            route=call.route.name,
+            upstream=upstream.id,
+            outcome=outcome,
+            error=error,
+            attempt=call.attempts,
+            events=call.events.count,
+            outstanding=self._placement.standing(upstream).outstanding,
+            upstreams_age_s=round(self._view.upstreams_age_s(), 3),
+            after_ms=round((elapsed_s() - call.began_s) * 1000),
+            left_ms=round(call.time_left_s() * 1000),
+        )
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/interfaces.py
@@ -0,0 +1,97 @@
+"""What the gateway expects of an adapter to a platform."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from damasksaddle.platform import Row
+from damasksaddle_gateway.catalogue import Catalogue, Upstream, Workspace
+
+
+@dataclass(frozen=True, slots=True)
+class ProgramFacts:
+    """
+    What a request tells of its program.
+
+    `time_left_ms` is the time until the program should be finished and
+    `budget_tokens` what all of its turns may generate together; both are None if
+    the request does not tell.
+    """
+
+    id: str
+    session: str
+    time_left_ms: float | None
+    budget_tokens: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """
+    What the headers of a request tell.
+
+    `forwarded` are the headers that an upstream gets as the caller sent them.
+    `prompt_parts` are the ids and token counts of the prompt's parts, in order.
+    """
+
+    request_id: str
+    key: str
+    deadline_ms: float | None
+    program: ProgramFacts | None
+    prompt_tokens: int
+    max_output_tokens: int
+    prompt_parts: tuple[tuple[str, int], ...]
+    last_event_id: str
+    forwarded: CIMultiDict[str]
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What the status and headers of an upstream's answer tell."""
+
+    request_id: str
+    signed: bool
+    not_run: bool
+    misdirected: bool
+
+
+class Wire(Protocol):
+    """Translates between headers and facts."""
+
+    def request(self, headers: CIMultiDictProxy[str]) -> RequestFacts: ...
+
+    def upstream_headers(
+        self,
+        facts: RequestFacts,
+        upstream: Upstream,
+        workspace: Workspace | None,
+        time_left_ms: float,
+        last_event_id: str,
+        priority: int | None,
+    ) -> CIMultiDict[str]: ...
+
+    def answer(self, status: int, headers: Mapping[str, str]) -> AnswerFacts: ...
+
+    def answer_headers(self, headers: CIMultiDictProxy[str]) -> CIMultiDict[str]: ...
+
+    def caller_domain(self, query: Mapping[str, str]) -> str:
+        """Returns the failure domain of a caller that asks for addresses."""
+        ...
+
+    def addresses_body(self, addresses: list[str], ttl_s: float) -> dict[str, Any]: ...
+
+
+class Decoder(Protocol):
+    """Reads the rows that the operator and the upstreams write."""
+
+    config_table: str
+    upstream_table: str
+
+    def catalogue(self, row: Row) -> Catalogue | None:
+        """Returns None for a row that holds no configuration."""
+        ...
+
+    def upstream(self, row: Row) -> Upstream | None:
+        """Returns None for a row that names no upstream to use."""
+        ...
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/placement.py
@@ -0,0 +1,96 @@
+"""
+Chooses the upstream of a request.
+
+Requests of one program go to the same engine, whichever VM they enter, because its
+prompts begin alike: the order of engines follows from a hash of the program. An engine
+that is full, or failed lately, is passed over. Requests to plain services go to the
+upstream with the fewest requests of this VM among two drawn at random.
+"""
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from damasksaddle.utils import elapsed_s, rendezvous
+from damasksaddle_gateway.catalogue import Service, Upstream
+from damasksaddle_gateway.interfaces import RequestFacts
+
+# An upstream that said it is full gets no request for this time: a few turns' length.
+FULL_PAUSE_S = 0.05
+# An upstream that failed is avoided for this time, doubling up to the longest.
+FAILED_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 8.0
+
+
+@dataclass(slots=True)
+class Standing:
+    """What this VM experienced with one start of an upstream."""
+
+    outstanding: int = 0
+    failures: int = 0
+    avoid_until_s: float = -math.inf
+    sessions: dict[str, None] = field(default_factory=dict)
+
+
+class Placement:
+    """Keeps the standing of upstreams and chooses among them."""
+
+    def __init__(self) -> None:
+        self._standing: dict[tuple[str, str, int], Standing] = {}
+        self._random = random.Random()
+
+    def standing(self, upstream: Upstream) -> Standing:
+        """Returns the standing of an upstream since it started."""
+        return self._standing.setdefault(upstream.incarnation, Standing())
+
+    def keep_only(self, upstreams: list[Upstream]) -> None:
+        """Forgets upstreams that are gone and have no request."""
+        known = {upstream.incarnation for upstream in upstreams}
+        for incarnation in list(self._standing):
+            unused = not self._standing[incarnation].outstanding
+            if incarnation not in known and unused:
+                del self._standing[incarnation]
+
+    def choose(
+        self,
+        candidates: list[Upstream],
+        service: Service,
+        facts: RequestFacts,
+    ) -> Upstream | None:
+        """Returns the upstream to try next, or None if there is none."""
+        if not candidates:
+            return None
+        now_s = elapsed_s()
+        calm = [c for c in candidates if self.standing(c).avoid_until_s <= now_s]
+        candidates = calm or candidates
+        if service.engine is not None and facts.program is not None:
+            return self._engine(candidates, facts.program.id)
+        return self._least_outstanding(candidates)
+
+    def _engine(self, candidates: list[Upstream], program: str) -> Upstream:
+        by_id = {upstream.id: upstream for upstream in candidates}
+        return by_id[rendezvous(program, by_id)[0]]
+
+    def _least_outstanding(self, candidates: list[Upstream]) -> Upstream:
+        drawn = self._random.sample(candidates, min(2, len(candidates)))
+        return min(drawn, key=self._load)
+
+    def _load(self, upstream: Upstream) -> float:
+        return self.standing(upstream).outstanding / max(1, upstream.slots)
+
+    def full(self, upstream: Upstream) -> None:
+        """Books that an upstream had no room."""
+        standing = self.standing(upstream)
+        until_s = elapsed_s() + FULL_PAUSE_S
+        standing.avoid_until_s = max(standing.avoid_until_s, until_s)
+
+    def failed(self, upstream: Upstream) -> None:
+        """Books that an upstream could not be reached or broke off."""
+        standing = self.standing(upstream)
+        pause_s = min(LONGEST_PAUSE_S, FAILED_PAUSE_S * 2**standing.failures)
+        standing.failures += 1
+        standing.avoid_until_s = elapsed_s() + pause_s
+
+    def succeeded(self, upstream: Upstream) -> None:
+        """Books a complete answer."""
+        self.standing(upstream).failures = 0
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/rows.py
@@ -0,0 +1,80 @@
+"""Changes a row by compare-and-set until it holds."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from damasksaddle.exceptions import AnswerLost, RowTaken, TableUnavailable
+from damasksaddle.platform import Put, VersionedTable
+from damasksaddle.utils import new_id
+
+# Tries before a change that keeps losing against other VMs is given up.
+MAX_TRIES = 6
+
+
+@dataclass(slots=True)
+class CachedRow:
+    """A row as this VM last saw it; version 0 means that it does not exist."""
+
+    key: str
+    version: int = 0
+    value: dict[str, Any] | None = None
+
+
+Change = Callable[[dict[str, Any] | None], dict[str, Any] | None]
+
+
+async def change_row(
+    table: VersionedTable, cached: CachedRow, change: Change
+) -> tuple[bool, int]:
+    """
+    Applies a change to the current value of a row.
+
+    `change` gets the value, or None if there is no row, and returns the new one, or
+    None to leave the row as it is. Returns whether a value was written, and the
+    table's clock in milliseconds (0 if it was not heard). Each value carries the id
+    of the change, so that a change whose answer was lost is recognized when it is
+    sent again. Raises `TableUnavailable` if the change did not take effect, and
+    `AnswerLost` if that is not known.
+    """
+    operation = new_id("op")
+    uncertain = False
+    for _ in range(MAX_TRIES):
+        value = change(cached.value)
+        if value is None:
+            if uncertain:
+                raise AnswerLost(cached.key)
+            return False, 0
+        value = {**value, "operation": operation}
+        put = Put(cached.key, json.dumps(value), cached.version)
+        try:
+            page = await table.commit([put])
+        except RowTaken as error:
+            _refresh(cached, error)
+            if cached.value and cached.value.get("operation") == operation:
+                return True, 0
+            if uncertain:
+                # The lost write may have been applied and then changed by others.
+                raise AnswerLost(cached.key) from error
+            continue
+        except AnswerLost:
+            uncertain = True
+            continue
+        except TableUnavailable as error:
+            if uncertain:
+                raise AnswerLost(cached.key) from error
+            raise
+        cached.version, cached.value = page.version, value
+        return True, page.now_ms
+    if uncertain:
+        raise AnswerLost(cached.key)
+    raise TableUnavailable(f"{cached.key}: too many conflicts")
+
+
+def _refresh(cached: CachedRow, error: RowTaken) -> None:
+    for row in error.rows:
+        if row.key == cached.key and not row.deleted:
+            cached.version, cached.value = row.version, json.loads(row.value)
+            return
+    cached.version, cached.value = 0, None
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -0,0 +1,180 @@
+"""
+Sends requests to upstreams, with connections that are kept.
+
+Nothing here repeats a request. The outcome of a try is a type, so that the caller of
+`send` decides what may be tried again.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from functools import partial
+
+import aiohttp
+from aiohttp import hdrs
+from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict, CIMultiDictProxy
+from yarl import URL
+
+from damasksaddle.exceptions import DamasksaddleError
+from damasksaddle_gateway.catalogue import Upstream
+from damasksaddle_gateway.interfaces import AnswerFacts, Wire
+
+CONNECT_TIMEOUT_S = 0.4
+# Upstreams close idle connections after a timeout of their own, in seconds.
+KEEP_IDLE_S = 4.0
+# The largest body of a plain answer that is read whole before it is passed on.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class UpstreamTryFailed(DamasksaddleError):
+    """Base of what ends a try without a usable answer."""
+
+
+class NotReached(UpstreamTryFailed):
+    """Nothing was sent: the request has not run there."""
+
+
+class NotTaken(UpstreamTryFailed):
+    """The upstream said that it did not run the request."""
+
+    def __init__(self, status: int, misdirected: bool) -> None:
+        super().__init__(f"status {status}")
+        self.misdirected = misdirected
+
+
+class BrokenOff(UpstreamTryFailed):
+    """The request was sent and no complete answer came: it may have run."""
+
+
+class _Connection(ResponseHandler):
+    """Remembers how the connection ended."""
+
+    lost_by: BaseException | None = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.lost_by = exc
+        super().connection_lost(exc)
+
+
+class _Connector(aiohttp.TCPConnector):
+    def __init__(self) -> None:
+        super().__init__(limit=0, keepalive_timeout=KEEP_IDLE_S, use_dns_cache=False)
+        self._factory = partial(_Connection, loop=asyncio.get_running_loop())
+
+
+@dataclass(slots=True)
+class Answer:
+    """The head of an upstream's answer; `facts` are what its headers tell."""
+
+    status: int
+    headers: CIMultiDictProxy[str]
+    facts: AnswerFacts
+    response: aiohttp.ClientResponse
+    connection: _Connection | None
+
+    async def body(self) -> bytes:
+        """Returns the whole body; raises `BrokenOff`."""
+        chunks = [chunk async for chunk in self.chunks()]
+        return b"".join(chunks)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives; raises `BrokenOff`."""
+        try:
+            async for chunk in self.response.content.iter_any():
+                yield chunk
+        except (aiohttp.ClientError, OSError) as error:
+            raise BrokenOff(repr(error)) from error
+        if self.connection is not None and self.connection.lost_by is not None:
+            raise BrokenOff(repr(self.connection.lost_by))
+
+
+class UpstreamClient:
+    """Connections to upstreams."""
+
+    def __init__(self, wire: Wire) -> None:
+        self._wire = wire
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Opens the client; needs the running loop."""
+        self._session = aiohttp.ClientSession(
+            connector=_Connector(),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_S, connect=CONNECT_TIMEOUT_S
+            ),
+        )
+        # The client would send a request again by its method; here the route decides.
+        self._session._retry_connection = False
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    @asynccontextmanager
+    async def send(
+        self,
+        upstream: Upstream,
+        method: str,
+        raw_path: str,
+        headers: CIMultiDict[str],
+        body: bytes,
+        request_id: str,
+    ) -> AsyncIterator[Answer]:
+        """
+        Sends a request once and yields the head of its answer.
+
+        Raises `NotReached`, `NotTaken` or `BrokenOff`. Leaving the context before
+        the body was read ends the connection, which stops the upstream's work.
+        """
+        assert self._session is not None
+        url = URL(f"http://{upstream.address}{raw_path}", encoded=True)
+        try:
+            response = await self._session.request(
+                method,
+                url,
+                headers=headers,
+                data=body or None,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise NotReached(repr(error)) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise BrokenOff(repr(error)) from error
+        try:
+            yield await self._head(response, request_id)
+        finally:
+            if not response.content.is_eof():
+                response.close()
+            response.release()
+
+    async def _head(
+        self, response: aiohttp.ClientResponse, request_id: str
+    ) -> Answer:
+        facts = self._wire.answer(response.status, response.headers)
+        if facts.request_id and facts.request_id != request_id:
+            response.close()
+            raise BrokenOff("the answer belongs to another request")
+        if facts.not_run:
+            raise NotTaken(response.status, facts.misdirected)
+        connection = _closing_connection(response)
+        return Answer(response.status, response.headers, facts, response, connection)
+
+
+def _closing_connection(response: aiohttp.ClientResponse) -> _Connection | None:
+    """
+    Returns the connection whose end ends the body, or None if a length does.
+
+    Such a body is complete only if the connection was closed and not reset.
+    """
+    headers = response.headers
+    if hdrs.CONTENT_LENGTH in headers or hdrs.TRANSFER_ENCODING in headers:
+        return None
+    held = response.connection
+    protocol = held.protocol if held is not None else None
+    return protocol if isinstance(protocol, _Connection) else None
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/view.py
@@ -0,0 +1,187 @@
+"""
+Follows the operator's configuration and the list of upstreams.
+
+The configuration is read from the feed of its table; whatever the feed cannot tell
+(after a start, or when the table has forgotten its history) is read whole. The list
+of upstreams is polled, because its rows change with every heartbeat.
+
+A view knows when it was last proved current. The proof counts from the moment at
+which the read was sent, on a clock that goes on while the VM is suspended.
+"""
+
+import asyncio
+import math
+
+from mode import Service
+
+from damasksaddle.exceptions import AnswerLost, HistoryForgotten, TableUnavailable
+from damasksaddle.platform import Row, VersionedTable, row_key
+from damasksaddle.utils import elapsed_s, get_log
+from damasksaddle_gateway.catalogue import Catalogue, Upstream
+from damasksaddle_gateway.interfaces import Decoder
+
+log = get_log("view")
+
+# How long one read of the feed waits for a change. It bounds the age of the proof.
+FEED_WAIT_S = 1.0
+# How often the upstreams are read: a third of the time in which a draining upstream
+# has to be left alone, so that one read may fail.
+UPSTREAM_POLL_SHARE = 1 / 3
+# Pause after a failed read, so that a store that is down gets few requests.
+RETRY_S = 0.25
+# An upstream whose row vanished while the table was away is kept this long after the
+# table came back, since upstreams renew their rows within two seconds of that.
+REAPPEAR_S = 2.0
+# A gap between two good reads that is longer than this counts as an outage.
+OUTAGE_S = 2.0
+
+
+class View(Service):
+    """The newest catalogue and upstreams that this VM knows."""
+
+    def __init__(
+        self, table: VersionedTable, decoder: Decoder, drain_ms: float
+    ) -> None:
+        super().__init__()
+        self._table = table
+        self._decoder = decoder
+        self._poll_s = drain_ms / 1000 * UPSTREAM_POLL_SHARE
+        self.catalogue: Catalogue | None = None
+        self.upstreams: dict[str, Upstream] = {}
+        self.changed = asyncio.Event()
+        self._config_version = 0
+        self._config_proved_s = -math.inf
+        self._upstreams_proved_s = -math.inf
+        self._outage_ended_s = -math.inf
+        self._reachable = True
+
+    def config_age_s(self) -> float:
+        """Returns how long ago the catalogue was last proved current."""
+        return elapsed_s() - self._config_proved_s
+
+    def upstreams_age_s(self) -> float:
+        """Returns how long ago the list of upstreams was last proved current."""
+        return elapsed_s() - self._upstreams_proved_s
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Returns the upstreams of a service that take new requests."""
+        return [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.service == service and not upstream.draining
+        ]
+
+    @Service.task
+    async def _follow_config(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._read_config()
+                while not self.should_stop:
+                    await self._read_changes()
+            except HistoryForgotten:
+                log.info("The feed has forgotten its history; reading it all.")
+            except (TableUnavailable, AnswerLost) as error:
+                self._lost("config", error)
+                await asyncio.sleep(RETRY_S)
+
+    async def _read_config(self) -> None:
+        sent_s = elapsed_s()
+        page = await self._table.page(row_key(self._decoder.config_table, "", ""))
+        self._apply(page.rows)
+        self._config_version = page.version
+        self._config_proved_s = sent_s
+        self._regained()
+
+    async def _read_changes(self) -> None:
+        sent_s = elapsed_s()
+        page = await self._table.changes(
+            self._decoder.config_table, self._config_version, FEED_WAIT_S
+        )
+        self._apply(page.rows)
+        self._config_version = max(self._config_version, page.version)
+        self._config_proved_s = sent_s
+        self._regained()
+
+    def _apply(self, rows: list[Row]) -> None:
+        for row in rows:
+            catalogue = None if row.deleted else self._decoder.catalogue(row)
+            if catalogue is None:
+                continue
+            if self.catalogue and catalogue.version <= self.catalogue.version:
+                continue
+            log.info(
+                "A configuration is in force.",
+                version=catalogue.version,
+                routes=len(catalogue.routes),
+                keys=len(catalogue.workspace_by_key),
+                age_s=round(self.config_age_s(), 3),
+            )
+            self.catalogue = catalogue
+            self._notify()
+
+    @Service.task
+    async def _follow_upstreams(self) -> None:
+        while not self.should_stop:
+            pause_s = self._poll_s
+            try:
+                await self._read_upstreams()
+            except (TableUnavailable, AnswerLost) as error:
+                self._lost("upstreams", error)
+                pause_s = RETRY_S
+            await asyncio.sleep(pause_s)
+
+    async def _read_upstreams(self) -> None:
+        sent_s = elapsed_s()
+        prefix = row_key(self._decoder.upstream_table, "", "")
+        page = await self._table.page(prefix)
+        rows = list(page.rows)
+        while not page.complete:
+            page = await self._table.page(prefix, after=page.rows[-1].key)
+            rows += page.rows
+        if sent_s - self._upstreams_proved_s > OUTAGE_S:
+            self._outage_ended_s = sent_s
+        self._upstreams_proved_s = sent_s
+        self._regained()
+        self._replace(rows, sent_s)
+
+    def _replace(self, rows: list[Row], now_s: float) -> None:
+        listed = {}
+        for row in rows:
+            upstream = self._decoder.upstream(row)
+            if upstream is not None:
+                listed[upstream.id] = upstream
+        if now_s - self._outage_ended_s < REAPPEAR_S:
+            kept = {i: u for i, u in self.upstreams.items() if i not in listed}
+            listed.update(kept)
+        if listed == self.upstreams:
+            return
+        self._log_difference(listed)
+        self.upstreams = listed
+        self._notify()
+
+    def _log_difference(self, listed: dict[str, Upstream]) -> None:
+        for upstream in listed.values():
+            if self.upstreams.get(upstream.id) != upstream:
+                log.info(
+                    "An upstream registered or changed.",
+                    upstream=upstream.id,
+                    service=upstream.service,
+                    address=upstream.address,
+                    draining=upstream.draining,
+                )
+        for gone in self.upstreams.keys() - listed.keys():
+            log.info("An upstream is gone.", upstream=gone)
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _lost(self, what: str, error: Exception) -> None:
+        if self._reachable:
+            self._reachable = False
+            log.warning("The store does not answer.", read=what, error=repr(error))
+
+    def _regained(self) -> None:
+        if not self._reachable:
+            self._reachable = True
+            log.info("The store answers again.")
