--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,16 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := protocol core node cli standins
+PACKAGES := protocol core node gateway cli standins
 STAMP := $(VENV)/.installed
 
 .PHONY: setup demo bench soak test lint format docs clean
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements-dev.txt $(PACKAGES:%=-e packages/%)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements-dev.txt $(PACKAGES:%=-e packages/%) -e platform
 	touch $@
 
 demo: setup
--- a/packages/core/src/damasksaddle/platform/interfaces.py
+++ b/packages/core/src/damasksaddle/platform/interfaces.py
@@ -83,6 +83,8 @@
     a part. All methods raise `TableUnavailable` if the request was not taken.
     """
 
+    async def row(self, key: str) -> Row | None: ...
+
     async def page(self, prefix: str, after: str = "", limit: int = 500) -> Page:
         """Returns the rows of a `TABLE/PART/` whose key sorts after `after`."""
         ...
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/allotments.py
@@ -0,0 +1,243 @@
+"""
+Draws a workspace's rate from its row in the store, and hands it out.
+
+The row is the one token bucket of a workspace over all VMs. Whoever draws from it,
+by compare-and-set, may hand out what it drew for `lapse_s`, so several VMs may draw at
+once and the rate still holds: a window can exceed it only by what was drawn before
+the window began, and `lapse_s` is chosen so that this fits the overrun that is allowed.
+
+Requests wait in line for a short time when the bucket is empty. A request that begins
+a program is refused while the bucket is low, so that the programs under way can end:
+one that has to stop midway has used its share of the rate for nothing.
+"""
+
+import asyncio
+import math
+from dataclasses import dataclass, field
+from typing import Any
+
+from damasksaddle.exceptions import (
+    AnswerLost,
+    RateExceeded,
+    StoreUnavailable,
+    TableUnavailable,
+)
+from damasksaddle.platform import VersionedTable, row_key
+from damasksaddle.utils import elapsed_s, get_log
+from damasksaddle_gateway.catalogue import Workspace
+from damasksaddle_gateway.rows import CachedRow, change_row
+from damasksaddle_gateway.settings import GatewaySettings
+
+log = get_log("rates")
+
+TABLE = "rates"
+# The part of the allowed overrun that drawn tokens may use up; the rest is for
+# requests that are on their way to an upstream when a window begins.
+OVERRUN_SHARE = 0.7
+# Half of the lapse is for the VM that draws, the other half for those it gives to.
+HOLDER_SHARE = 0.5
+LONGEST_LAPSE_S = 1.0
+# A draw covers the demand that is expected within this part of the lapse.
+AHEAD_SHARE = 0.8
+# The demand is averaged over about this time.
+DEMAND_S = 1.0
+# A request that begins a program needs this much of the burst left in the bucket.
+RESERVE_SHARE = 0.25
+STORE_RETRY_S = 0.5
+MIN_RETRY_S = 0.1
+# A draw that found too little waits at least this long before the next.
+MIN_WAIT_S = 0.02
+
+
+def lapse_s(workspace: Workspace, settings: GatewaySettings) -> float:
+    """Returns for how long drawn tokens may be used, by all VMs that hand them on."""
+    window = settings.rate_window_s * workspace.rate_per_s + workspace.burst
+    overrun = settings.rate_overrun * window + settings.rate_slack
+    return min(LONGEST_LAPSE_S, OVERRUN_SHARE * overrun / workspace.rate_per_s)
+
+
+class Demand:
+    """An average of events per second."""
+
+    def __init__(self) -> None:
+        self._per_s = 0.0
+        self._at_s = 0.0
+
+    def count(self, number: int = 1) -> None:
+        """Books that events happened now."""
+        now_s = elapsed_s()
+        self._per_s = self.per_s() + number / DEMAND_S
+        self._at_s = now_s
+
+    def per_s(self) -> float:
+        """Returns the average up to now."""
+        return self._per_s * math.exp((self._at_s - elapsed_s()) / DEMAND_S)
+
+
+@dataclass(slots=True)
+class Drawn:
+    """Tokens that may be used until a time."""
+
+    tokens: float = 0.0
+    until_s: float = -math.inf
+
+    def take(self, wanted: int) -> int:
+        """Returns how many tokens were taken, at most what is wanted."""
+        if elapsed_s() >= self.until_s:
+            self.tokens = 0.0
+        taken = min(wanted, math.floor(self.tokens))
+        self.tokens -= taken
+        return taken
+
+
+@dataclass(slots=True)
+class _Allotment:
+    """What this VM knows of the bucket of one workspace."""
+
+    row: CachedRow
+    drawn: Drawn = field(default_factory=Drawn)
+    demand: Demand = field(default_factory=Demand)
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    waiting: int = 0
+    level: float = math.inf
+    level_at_s: float = 0.0
+    clock_ms: float = 0.0
+    clock_heard_s: float = 0.0
+
+    def now_ms(self) -> float:
+        """Returns a lower bound of the store's clock, 0 if it was never heard."""
+        if not self.clock_ms:
+            return 0.0
+        return self.clock_ms + (elapsed_s() - self.clock_heard_s) * 1000
+
+
+class Allotments:
+    """Hands out tokens of workspaces."""
+
+    def __init__(self, table: VersionedTable, settings: GatewaySettings) -> None:
+        self._table = table
+        self._settings = settings
+        self._allotments: dict[str, _Allotment] = {}
+
+    async def take(
+        self,
+        workspace: Workspace,
+        wanted: int,
+        max_wait_s: float,
+        begins_program: bool,
+    ) -> int:
+        """
+        Returns at least one token, and up to `wanted` if the bucket is ample.
+
+        Raises `RateExceeded` with the time until there will be one if that is longer
+        than `max_wait_s`, and `StoreUnavailable` if the store cannot tell.
+        """
+        allotment = self._allotment(workspace)
+        allotment.demand.count(wanted)
+        self._refuse_hopeless(allotment, workspace, max_wait_s)
+        give_up_s = elapsed_s() + max_wait_s
+        if begins_program:
+            await self._wait_for_reserve(allotment, workspace, give_up_s)
+        allotment.waiting += 1
+        try:
+            async with allotment.lock:
+                while True:
+                    taken = allotment.drawn.take(self._portion(allotment, wanted))
+                    if taken:
+                        return taken
+                    wait_s = await self._draw(allotment, workspace)
+                    if wait_s and elapsed_s() + wait_s > give_up_s:
+                        raise self._exceeded(allotment, workspace, wait_s)
+                    await asyncio.sleep(wait_s)
+        finally:
+            allotment.waiting -= 1
+
+    async def _wait_for_reserve(
+        self, allotment: _Allotment, workspace: Workspace, give_up_s: float
+    ) -> None:
+        """Waits, outside of the line, until the bucket is no longer low."""
+        while True:
+            missing = self._missing(allotment, workspace)
+            missing += workspace.burst * RESERVE_SHARE
+            if missing <= 0:
+                return
+            wait_s = missing / workspace.rate_per_s
+            if elapsed_s() + wait_s > give_up_s:
+                raise self._exceeded(allotment, workspace, wait_s)
+            await asyncio.sleep(wait_s)
+
+    @staticmethod
+    def _missing(allotment: _Allotment, workspace: Workspace) -> float:
+        """Returns how many tokens are missing for one more request, as last known."""
+        gained = (elapsed_s() - allotment.level_at_s) * workspace.rate_per_s
+        level = min(workspace.burst, allotment.level + gained)
+        return allotment.waiting + 1 - level - allotment.drawn.tokens
+
+    def _refuse_hopeless(
+        self, allotment: _Allotment, workspace: Workspace, max_wait_s: float
+    ) -> None:
+        """Raises if the requests that wait already will take longer than the wait."""
+        wait_s = self._missing(allotment, workspace) / workspace.rate_per_s
+        if wait_s > max_wait_s:
+            raise self._exceeded(allotment, workspace, wait_s)
+
+    @staticmethod
+    def _exceeded(
+        allotment: _Allotment, workspace: Workspace, wait_s: float
+    ) -> RateExceeded:
+        return RateExceeded(
+            f"level {allotment.level:.1f} of {workspace.burst:g}, "
+            f"{allotment.waiting} waiting",
+            retry_after_s=max(MIN_RETRY_S, wait_s),
+        )
+
+    def _allotment(self, workspace: Workspace) -> _Allotment:
+        known = self._allotments.get(workspace.name)
+        if known is None:
+            known = _Allotment(CachedRow(row_key(TABLE, workspace.name, "bucket")))
+            self._allotments[workspace.name] = known
+        return known
+
+    @staticmethod
+    def _portion(allotment: _Allotment, wanted: int) -> int:
+        """Others that wait get a token each before anybody gets more."""
+        spare = math.floor(allotment.drawn.tokens) - allotment.waiting + 1
+        return max(1, min(wanted, spare))
+
+    async def _draw(self, allotment: _Allotment, workspace: Workspace) -> float:
+        """Draws tokens; returns how long to wait before the next draw, 0 if some."""
+        ahead_s = lapse_s(workspace, self._settings) * HOLDER_SHARE * AHEAD_SHARE
+        wanted = allotment.waiting + math.ceil(allotment.demand.per_s() * ahead_s)
+        got = 0.0
+        # What was drawn and not used goes back, also after it lapsed.
+        unused, allotment.drawn.tokens = allotment.drawn.tokens, 0.0
+
+        def draw(value: dict[str, Any] | None) -> dict[str, Any] | None:
+            nonlocal got
+            now_ms, level = allotment.now_ms(), workspace.burst
+            if value is not None:
+                now_ms = max(now_ms, value["at_ms"])
+                gained = (now_ms - value["at_ms"]) / 1000 * workspace.rate_per_s
+                level = min(workspace.burst, value["level"] + gained + unused)
+            got = max(0.0, math.floor(min(level, wanted)))
+            allotment.level, allotment.level_at_s = level - got, elapsed_s()
+            if not got and not unused:
+                return None
+            return {"level": level - got, "at_ms": now_ms}
+
+        try:
+            _, now_ms = await change_row(self._table, allotment.row, draw)
+        except (TableUnavailable, AnswerLost) as error:
+            raise StoreUnavailable(
+                f"rate of {workspace.name}: {error!r}", retry_after_s=STORE_RETRY_S
+            ) from error
+        if now_ms:
+            allotment.clock_ms, allotment.clock_heard_s = float(now_ms), elapsed_s()
+        if not got:
+            missing = 1 - allotment.level
+            return max(MIN_WAIT_S, missing / workspace.rate_per_s)
+        allotment.drawn.tokens = got
+        allotment.drawn.until_s = elapsed_s() + lapse_s(
+            workspace, self._settings
+        ) * HOLDER_SHARE
+        return 0.0
--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -183,7 +183,9 @@
         unreported: int,
     ) -> bool:
         try:
-            written, _ = await change_row(self._table, ledger.row, change)
+            written, _ = await change_row(
+                self._table, ledger.row, change, reread=True
+            )
         except AnswerLost as error:
             # Spent tokens that are reported twice could end a program too early.
             # Those that are never reported still count as granted.
--- a/packages/gateway/src/damasksaddle_gateway/front.py
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -55,7 +55,8 @@
 # Retry-After of refusals that pass by themselves.
 NOT_FRESH_RETRY_S = 0.5
 NO_UPSTREAM_RETRY_S = 0.2
-# The part of a request's time that may be spent on waiting for its budget.
+# The parts of a request's time that it may wait for its rate and for its budget.
+RATE_PATIENCE_SHARE = 0.2
 BUDGET_PATIENCE_SHARE = 0.2
 # The answer to a request that has run out of time should leave a little earlier.
 ANSWER_MARGIN_S = 0.02
@@ -137,10 +138,14 @@
     def _refuse(
         self, facts: RequestFacts, error: Refusal, began_s: float
     ) -> web.Response:
+        catalogue = self._view.catalogue
+        workspace = catalogue.workspace(facts.key) if catalogue else None
         log.info(
             "Refused a request.",
             request=facts.request_id,
             program=facts.program.id if facts.program else "",
+            workspace=workspace.name if workspace else "",
+            begins=facts.begins_program(),
             code=error.code,
             status=error.status,
             not_run=error.not_run,
@@ -194,7 +199,9 @@
             last_event_id=facts.last_event_id,
         )
         if workspace is not None:
-            await self._rates.acquire(workspace)
+            await self._rates.acquire(
+                workspace, time_ms / 1000 * RATE_PATIENCE_SHARE, facts.begins_program()
+            )
         return call
 
     def _fresh_catalogue(self) -> Catalogue:
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -9,9 +9,11 @@
 
 from damasksaddle.platform import VersionedTable
 from damasksaddle.utils import elapsed_s, get_log
+from damasksaddle_gateway.allotments import Allotments
 from damasksaddle_gateway.budgets import Budgets
 from damasksaddle_gateway.front import Front
 from damasksaddle_gateway.interfaces import Decoder, Wire
+from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.placement import Placement
 from damasksaddle_gateway.rates import Rates
 from damasksaddle_gateway.roster import Roster
@@ -69,12 +71,17 @@
         self.settings = settings
         self.view = View(table, decoder, settings.drain_ms)
         self.roster = Roster(table, settings)
+        self.peers = Peers(table, self.roster, settings)
+        self.rates = Rates(
+            Allotments(table, settings), self.roster, self.peers, self.view, settings
+        )
+        self.rates.register(self.peers.handlers)
         self.budgets = Budgets(table, settings.settle_ms / 1000)
         self.placement = Placement()
         self.upstreams = UpstreamClient(wire)
         self.front = Front(
             self.view,
-            Rates(table, self.roster),
+            self.rates,
             self.budgets,
             self.placement,
             self.upstreams,
@@ -87,7 +94,7 @@
         self._runners: list[web.ServerRunner] = []
 
     def on_init_dependencies(self) -> list[ServiceT]:
-        return [self.view, self.roster, self.budgets]
+        return [self.view, self.roster, self.peers, self.budgets]
 
     async def on_start(self) -> None:
         await self.upstreams.start()
--- a/packages/gateway/src/damasksaddle_gateway/interfaces.py
+++ b/packages/gateway/src/damasksaddle_gateway/interfaces.py
@@ -9,6 +9,9 @@
 from damasksaddle.platform import Row
 from damasksaddle_gateway.catalogue import Catalogue, Upstream, Workspace
 
+# The shared part of a first turn's prompt, and its own.
+FIRST_TURN_PARTS = 2
+
 
 @dataclass(frozen=True, slots=True)
 class ProgramFacts:
@@ -45,6 +48,18 @@
     last_event_id: str
     forwarded: CIMultiDict[str]
 
+    def begins_program(self) -> bool:
+        """
+        Tells whether this is the first turn of its program.
+
+        The prompt of a later turn contains the parts of the turns before it.
+        """
+        return (
+            self.program is not None
+            and self.program.budget_tokens is not None
+            and len(self.prompt_parts) <= FIRST_TURN_PARTS
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/peers.py
@@ -0,0 +1,106 @@
+"""
+Connections to the other VMs of the fleet.
+
+The secret by which VMs know each other is drawn by the first VM that starts and kept
+in the store.
+"""
+
+import secrets
+from typing import Any
+
+from mode import Service
+
+from damasksaddle.exceptions import AnswerLost, PeerTimeout, TableUnavailable
+from damasksaddle.platform import VersionedTable, row_key
+from damasksaddle.utils import get_log
+from damasksaddle_gateway.roster import Roster
+from damasksaddle_gateway.rows import CachedRow, change_row
+from damasksaddle_gateway.settings import GatewaySettings
+from damasksaddle_node.peers import Handlers, PeerPool, PeerServer, TcpNetwork
+from damasksaddle_protocol import Message
+
+log = get_log("peers")
+
+TABLE = "fleet"
+SECRET_BYTES = 32
+# A peer in another failure domain accepts within a few milliseconds.
+CONNECT_TIMEOUT_S = 0.3
+RETRY_S = 0.3
+
+
+def _no_epoch() -> int:
+    """Nothing between gateways is fenced by an epoch: the store's versions do it."""
+    return 0
+
+
+class Peers(Service):
+    """Asks other VMs and answers them."""
+
+    def __init__(
+        self, table: VersionedTable, roster: Roster, settings: GatewaySettings
+    ) -> None:
+        super().__init__()
+        self.handlers = Handlers()
+        self._table = table
+        self._roster = roster
+        self._settings = settings
+        self._pool: PeerPool | None = None
+        self._server: PeerServer | None = None
+
+    async def request(self, vm: str, message: Message, timeout_s: float) -> Message:
+        """Returns a peer's answer; raises `PeerError` or the peer's `Refusal`."""
+        if self._pool is None:
+            raise PeerTimeout("the fleet's secret is not known yet")
+        try:
+            return await self._pool.request(vm, message, timeout_s)
+        except PeerTimeout:
+            # A connection may have gone silent for good while new ones work.
+            self._pool.forget(vm)
+            raise
+
+    @Service.task
+    async def _open(self) -> None:
+        while not self.should_stop:
+            try:
+                secret = await self._secret()
+                break
+            except (TableUnavailable, AnswerLost) as error:
+                log.info("The fleet's secret is not read.", error=repr(error))
+                await self.sleep(RETRY_S)
+        else:
+            return
+        settings = self._settings
+        network = TcpNetwork()
+        self._pool = PeerPool(
+            settings.vm,
+            secret,
+            network,
+            self.handlers,
+            self._roster.peer_address,
+            _no_epoch,
+            CONNECT_TIMEOUT_S,
+        )
+        self._server = PeerServer(
+            settings.vm, secret, network, self.handlers, _no_epoch
+        )
+        await self._server.start(settings.peers.host, settings.peers.port)
+
+    async def _secret(self) -> str:
+        row = CachedRow(row_key(TABLE, "", "secret"))
+        secret = secrets.token_hex(SECRET_BYTES)
+
+        def draw(value: dict[str, Any] | None) -> dict[str, Any] | None:
+            nonlocal secret
+            if value is not None:
+                secret = value["secret"]
+                return None
+            return {"secret": secret}
+
+        await change_row(self._table, row, draw)
+        return secret
+
+    async def on_stop(self) -> None:
+        if self._server is not None:
+            await self._server.stop()
+        if self._pool is not None:
+            self._pool.close()
--- a/packages/gateway/src/damasksaddle_gateway/roster.py
+++ b/packages/gateway/src/damasksaddle_gateway/roster.py
@@ -2,8 +2,8 @@
 The VMs of the fleet, and which of them callers should use.
 
 Each VM writes a row with a counter that grows. A VM whose row has not changed while
-the others could read the table is taken as dead: it is not listed to callers, but it
-still counts as a holder of its share of each rate until its row is removed.
+the others could read the table is taken as dead: it is not listed to callers, and
+nothing is asked of it.
 """
 
 import json
@@ -26,8 +26,6 @@
 DEAD_AFTER_S = 2.6
 # Rows of VMs that were dead for so long are removed.
 REMOVE_AFTER_S = 60.0
-# A VM counts in the shares of rates only after the others can have read its row.
-JOIN_DELAY_S = 2 * BEAT_S
 # Callers of a failure domain get only its own VMs if there are at least this many.
 MIN_LOCAL_VMS = 2
 MAX_ADDRESSES = 64
@@ -39,6 +37,7 @@
 
     vm: str
     address: str
+    peers: str
     failure_domain: str
     leaving: bool
     version: int
@@ -53,18 +52,19 @@
         self._table = table
         self._settings = settings
         self._members: dict[str, Member] = {}
-        self._joined_s = math.inf
         self._beats = 0
         self._leaving = False
         self._read_s = -math.inf
 
-    def size(self) -> int:
-        """Returns how many VMs may use a share of each rate."""
-        return max(1, len(self._members))
+    def alive(self) -> list[str]:
+        """Returns the VMs that are alive and stay, this one among them."""
+        alive = [m.vm for m in self._members.values() if self._is_listed(m)]
+        return alive or [self._settings.vm]
 
-    def has_share(self) -> bool:
-        """Tells whether the other VMs leave this one its share of each rate."""
-        return elapsed_s() - self._joined_s >= JOIN_DELAY_S
+    def peer_address(self, vm: str) -> str | None:
+        """Returns where a VM listens for the others, or None if it is unknown."""
+        member = self._members.get(vm)
+        return None if member is None else member.peers
 
     def addresses(self, failure_domain: str) -> list[str]:
         """Returns the addresses for callers of a failure domain, nearest first."""
@@ -100,6 +100,7 @@
         settings = self._settings
         value = {
             "callers": str(settings.callers),
+            "peers": str(settings.peers),
             "failure_domain": settings.failure_domain,
             "leaving": self._leaving,
             "beats": self._beats,
@@ -109,8 +110,6 @@
             await self._table.commit([Put(key, json.dumps(value))])
         except (TableUnavailable, AnswerLost) as error:
             log.debug("A heartbeat was not written.", error=repr(error))
-            return
-        self._joined_s = min(self._joined_s, elapsed_s())
 
     async def _read(self) -> None:
         sent_s = elapsed_s()
@@ -139,6 +138,7 @@
             members[vm] = Member(
                 vm,
                 value["callers"],
+                value["peers"],
                 value["failure_domain"],
                 value["leaving"],
                 row.version,
--- a/packages/gateway/src/damasksaddle_gateway/rows.py
+++ b/packages/gateway/src/damasksaddle_gateway/rows.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from damasksaddle.exceptions import AnswerLost, RowTaken, TableUnavailable
-from damasksaddle.platform import Put, VersionedTable
+from damasksaddle.platform import Put, Row, VersionedTable
 from damasksaddle.utils import new_id
 
 # Tries before a change that keeps losing against other VMs is given up.
@@ -26,13 +26,17 @@
 
 
 async def change_row(
-    table: VersionedTable, cached: CachedRow, change: Change
+    table: VersionedTable,
+    cached: CachedRow,
+    change: Change,
+    reread: bool = False,
 ) -> tuple[bool, int]:
     """
     Applies a change to the current value of a row.
 
     `change` gets the value, or None if there is no row, and returns the new one, or
-    None to leave the row as it is. Returns whether a value was written, and the
+    None to leave the row as it is; with `reread` it may say so only of a value that
+    was just read. Returns whether a value was written, and the
     table's clock in milliseconds (0 if it was not heard). Each value carries the id
     of the change, so that a change whose answer was lost is recognized when it is
     sent again. Raises `TableUnavailable` if the change did not take effect, and
@@ -45,13 +49,19 @@
         if value is None:
             if uncertain:
                 raise AnswerLost(cached.key)
-            return False, 0
+            if not reread:
+                return False, 0
+            _note(cached, await table.row(cached.key))
+            reread = False
+            continue
         value = {**value, "operation": operation}
         put = Put(cached.key, json.dumps(value), cached.version)
         try:
             page = await table.commit([put])
         except RowTaken as error:
-            _refresh(cached, error)
+            rows = [row for row in error.rows if row.key == cached.key]
+            _note(cached, rows[0] if rows else None)
+            reread = False
             if cached.value and cached.value.get("operation") == operation:
                 return True, 0
             if uncertain:
@@ -72,9 +82,8 @@
     raise TableUnavailable(f"{cached.key}: too many conflicts")
 
 
-def _refresh(cached: CachedRow, error: RowTaken) -> None:
-    for row in error.rows:
-        if row.key == cached.key and not row.deleted:
-            cached.version, cached.value = row.version, json.loads(row.value)
-            return
-    cached.version, cached.value = 0, None
+def _note(cached: CachedRow, row: Row | None) -> None:
+    if row is None or row.deleted:
+        cached.version, cached.value = 0, None
+    else:
+        cached.version, cached.value = row.version, json.loads(row.value)
--- a/packages/gateway/src/damasksaddle_gateway/settings.py
+++ b/packages/gateway/src/damasksaddle_gateway/settings.py
@@ -32,6 +32,7 @@
     ready: Address
     directory: Address
     metrics: Address
+    peers: Address
     grace_s: float
     key_revocation_ms: float
     drain_ms: float
--- a/packages/protocol/src/damasksaddle_protocol/__init__.py
+++ b/packages/protocol/src/damasksaddle_protocol/__init__.py
@@ -29,6 +29,8 @@
     Register,
     Release,
     Released,
+    TakeTokens,
+    TokensTaken,
     Vouch,
     Vouched,
 )
@@ -59,6 +61,8 @@
     "ProgramAnswer",
     "ProgramQuery",
     "Register",
+    "TakeTokens",
+    "TokensTaken",
     "Release",
     "Released",
     "Vouch",
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -80,6 +80,23 @@
     max_wait_ms: int
 
 
+@dataclass(slots=True)
+class TakeTokens:
+    """Asks for tokens of a workspace's rate, to be used by the sender soon."""
+
+    workspace: str
+    tokens: int
+    max_wait_ms: int
+    begins_program: bool
+
+
+@dataclass(slots=True)
+class TokensTaken:
+    """Tokens that the receiver may use."""
+
+    tokens: int
+
+
 @dataclass(slots=True)
 class Acquired:
     """The request was admitted after `waited_ms`."""
@@ -279,6 +296,8 @@
     | BucketLevel
     | Handover
     | Register
+    | TakeTokens
+    | TokensTaken
 )
 
 
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -33,6 +33,8 @@
     bucketLevel @26 :BucketLevel;
     handover @27 :Handover;
     register @28 :Register;
+    takeTokens @29 :TakeTokens;
+    tokensTaken @30 :TokensTaken;
   }
 }
 
@@ -190,3 +192,14 @@
 struct Handover {
   partition @0 :UInt32;
 }
+
+struct TakeTokens {
+  workspace @0 :Text;
+  tokens @1 :UInt32;        # what the sender expects to need soon, at least 1
+  maxWaitMs @2 :UInt32;
+  beginsProgram @3 :Bool;   # programs under way go first
+}
+
+struct TokensTaken {
+  tokens @0 :UInt32;
+}
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/versioned.py
@@ -0,0 +1,125 @@
+"""A stand-in for a store with versions and a feed, in memory, that fails on demand."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from damasksaddle.exceptions import (
+    AnswerLost,
+    HistoryForgotten,
+    RowTaken,
+    TableUnavailable,
+)
+from damasksaddle.platform import Page, Put, Row
+
+# What a call takes there and back, and a transaction besides.
+CALL_S = 0.004
+TRANSACTION_S = 0.005
+
+
+@dataclass(slots=True)
+class VersionedRows:
+    """The rows that all clients share; `history` is what the feed can tell."""
+
+    rows: dict[str, Row] = field(default_factory=dict)
+    history: list[Row] = field(default_factory=list)
+    version: int = 0
+    forgotten: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def apply(self, puts: list[Put]) -> None:
+        """Applies all puts at once; raises `RowTaken`."""
+        for put in puts:
+            if put.expected_version is None:
+                continue
+            row = self.rows.get(put.key)
+            if put.expected_version != (row.version if row else 0):
+                found = [self.rows[p.key] for p in puts if p.key in self.rows]
+                raise RowTaken(put.key, found)
+        self.version += 1
+        for put in puts:
+            self._put(put)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _put(self, put: Put) -> None:
+        if put.value is None:
+            self.rows.pop(put.key, None)
+            self.history.append(Row(put.key, "", self.version, deleted=True))
+        else:
+            row = Row(put.key, put.value, self.version)
+            self.rows[put.key] = row
+            self.history.append(row)
+
+    def compact(self) -> None:
+        """Forgets the history up to now."""
+        self.history.clear()
+        self.forgotten = self.version
+
+
+class VersionedStandin:
+    """
+    One client's view of the rows.
+
+    `down` refuses every call, `lose` decides for each write whether its answer is
+    lost after it took effect, and `silent` keeps the feed from telling anything.
+    """
+
+    def __init__(self, rows: VersionedRows) -> None:
+        self._rows = rows
+        self.down = False
+        self.silent = False
+        self.lose: Callable[[list[Put]], bool] = lambda puts: False
+        self.calls = 0
+
+    async def _call(self, time_s: float) -> None:
+        self.calls += 1
+        await asyncio.sleep(time_s)
+        if self.down:
+            raise TableUnavailable("the stand-in is down")
+
+    def _page(self, rows: list[Row], complete: bool = True) -> Page:
+        now_ms = int(asyncio.get_running_loop().time() * 1000) + 1
+        return Page(rows, self._rows.version, now_ms, complete)
+
+    async def row(self, key: str) -> Row | None:
+        await self._call(CALL_S)
+        return self._rows.rows.get(key)
+
+    async def page(self, prefix: str, after: str = "", limit: int = 500) -> Page:
+        await self._call(CALL_S)
+        keys = sorted(
+            key for key in self._rows.rows if key.startswith(prefix) and key > after
+        )
+        rows = [self._rows.rows[key] for key in keys[:limit]]
+        return self._page(rows, len(keys) <= limit)
+
+    async def changes(self, table: str, after_version: int, wait_s: float) -> Page:
+        await self._call(CALL_S)
+        if after_version < self._rows.forgotten:
+            raise HistoryForgotten(table)
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + wait_s
+        while loop.time() < ends_s:
+            rows = [
+                row
+                for row in self._rows.history
+                if row.version > after_version and row.key.startswith(f"{table}/")
+            ]
+            if rows and not self.silent:
+                return self._page(rows)
+            try:
+                async with asyncio.timeout(ends_s - loop.time()):
+                    await self._rows.changed.wait()
+            except TimeoutError:
+                break
+        if self.down:
+            raise TableUnavailable("the stand-in is down")
+        return self._page([])
+
+    async def commit(self, puts: list[Put]) -> Page:
+        await self._call(CALL_S + TRANSACTION_S)
+        self._rows.apply(puts)
+        if self.lose(puts):
+            raise AnswerLost("the stand-in lost the answer")
+        return self._page([])
--- /dev/null
+++ b/tests/gateway/test_budgets.py
@@ -0,0 +1,83 @@
+"""Programs must not generate more than their budget, whatever VMs and store do."""
+
+import asyncio
+
+import pytest
+
+from damasksaddle.exceptions import BudgetExceeded, StoreUnavailable
+from damasksaddle_gateway.budgets import Budgets
+from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
+
+MOST = 288
+BUDGET = 3 * MOST
+
+pytestmark = pytest.mark.looptime
+
+
+async def _reserve(budgets: Budgets, patience_s: float = 0.0):
+    return await budgets.reserve("ngo", "digest", BUDGET, MOST, patience_s)
+
+
+async def test_two_vms_share_one_budget(rows: VersionedRows) -> None:
+    """Guards against each VM spending the whole budget."""
+    vms = [Budgets(VersionedStandin(rows), 1.0) for _ in range(4)]
+    outcomes = await asyncio.gather(
+        *(_reserve(vm) for vm in vms), return_exceptions=True
+    )
+    refused = [o for o in outcomes if isinstance(o, BudgetExceeded)]
+    assert len(refused) == 1
+
+
+async def test_a_lost_vm_leaves_what_it_took_spent(rows: VersionedRows) -> None:
+    """Guards against a restart that forgets what an earlier process handed out."""
+    for _ in range(3):
+        await _reserve(Budgets(VersionedStandin(rows), 1.0))
+    with pytest.raises(BudgetExceeded):
+        await _reserve(Budgets(VersionedStandin(rows), 1.0))
+
+
+async def test_unused_tokens_come_back(rows: VersionedRows) -> None:
+    """Guards against turns on another VM being refused for tokens nobody uses."""
+    first, second = (Budgets(VersionedStandin(rows), 1.0) for _ in range(2))
+    for _ in range(8):
+        reservation = await _reserve(first)
+        first.settle(reservation, 40)
+        await asyncio.sleep(0.6)
+        reservation = await _reserve(second)
+        second.settle(reservation, 10)
+        await asyncio.sleep(0.6)
+
+
+async def test_a_turn_waits_for_others_to_settle(rows: VersionedRows) -> None:
+    """Guards against ending a program whose budget is only set aside for a moment."""
+    first, second = (Budgets(VersionedStandin(rows), 1.0) for _ in range(2))
+    running = [await _reserve(first) for _ in range(3)]
+    waiting = asyncio.create_task(_reserve(second, patience_s=1.0))
+    await asyncio.sleep(0.1)
+    for reservation in running:
+        first.settle(reservation, 70)
+    assert (await waiting).tokens == MOST
+
+
+async def test_lost_answers_never_exceed_the_budget(rows: VersionedRows) -> None:
+    """Guards against counting a write whose answer was lost as not done."""
+    table = VersionedStandin(rows)
+    table.lose = lambda puts: table.calls % 2 == 0
+    used = 0
+    for _ in range(12):
+        budgets = Budgets(table, 1.0)
+        try:
+            reservation = await _reserve(budgets)
+        except (BudgetExceeded, StoreUnavailable):
+            continue
+        used += reservation.tokens
+    assert used <= BUDGET
+
+
+async def test_a_store_that_is_down_refuses_a_new_program(
+    table: VersionedStandin,
+) -> None:
+    """Guards against a guess about a budget that nobody can read."""
+    table.down = True
+    with pytest.raises(StoreUnavailable):
+        await _reserve(Budgets(table, 1.0))
--- /dev/null
+++ b/tests/gateway/test_rates.py
@@ -0,0 +1,70 @@
+"""A workspace's rate holds over all VMs, and what is within it is admitted."""
+
+import asyncio
+
+import pytest
+
+from damasksaddle.exceptions import RateExceeded, StoreUnavailable
+from damasksaddle_gateway.allotments import Allotments
+from damasksaddle_gateway.catalogue import Workspace
+from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
+from tests.gateway.conftest import make_settings
+
+RATE = Workspace("ngo", rate_per_s=30.0, burst=30.0)
+WINDOW_S = 5.0
+ALLOWED = (RATE.rate_per_s * WINDOW_S + RATE.burst) * 1.1 + 20
+
+pytestmark = pytest.mark.looptime
+
+
+def _vms(rows: VersionedRows, number: int) -> list[Allotments]:
+    return [Allotments(VersionedStandin(rows), make_settings()) for _ in range(number)]
+
+
+def _busiest_window(times_s: list[float]) -> int:
+    return max(
+        sum(1 for t in times_s if begin <= t <= begin + WINDOW_S) for begin in times_s
+    )
+
+
+async def _press(vm: Allotments, pause_s: float, times_s: list[float]) -> None:
+    loop = asyncio.get_running_loop()
+    while loop.time() < 20:
+        try:
+            await vm.take(RATE, 1, 0.0, False)
+            times_s.append(loop.time())
+        except (RateExceeded, StoreUnavailable):
+            pass
+        await asyncio.sleep(pause_s)
+
+
+async def test_the_rate_holds_over_vms_that_all_draw(rows: VersionedRows) -> None:
+    """Guards against VMs that admit a workspace's rate each."""
+    times_s: list[float] = []
+    await asyncio.gather(*(_press(vm, 0.02, times_s) for vm in _vms(rows, 5)))
+    assert _busiest_window(times_s) <= ALLOWED
+
+
+async def test_most_of_the_rate_can_be_used(rows: VersionedRows) -> None:
+    """Guards against refusing what a workspace paid for."""
+    times_s: list[float] = []
+    await asyncio.gather(*(_press(vm, 0.02, times_s) for vm in _vms(rows, 1)))
+    assert len(times_s) >= 0.9 * RATE.rate_per_s * 20
+
+
+async def test_a_short_lack_is_waited_out(table: VersionedStandin) -> None:
+    """Guards against refusing a call whose token comes within its patience."""
+    vm = Allotments(table, make_settings())
+    loop = asyncio.get_running_loop()
+    for _ in range(40):
+        await vm.take(RATE, 1, 0.4, False)
+    assert loop.time() < 1.0
+
+
+async def test_programs_under_way_go_before_new_ones(table: VersionedStandin) -> None:
+    """Guards against beginning programs that then cannot be finished."""
+    vm = Allotments(table, make_settings())
+    with pytest.raises(RateExceeded):
+        for _ in range(40):
+            await vm.take(RATE, 1, 0.0, True)
+    await vm.take(RATE, 1, 0.0, False)
