--- a/packages/gateway/src/damasksaddle_gateway/allotments.py
+++ b/packages/gateway/src/damasksaddle_gateway/allotments.py
@@ -22,11 +22,12 @@
     StoreUnavailable,
     TableUnavailable,
 )
-from damasksaddle.platform import VersionedTable, row_key
+from damasksaddle.platform import row_key
 from damasksaddle.utils import elapsed_s, get_log
 from damasksaddle_gateway.catalogue import Workspace
 from damasksaddle_gateway.rows import CachedRow, change_row
 from damasksaddle_gateway.settings import GatewaySettings
+from damasksaddle_gateway.store import StoreGate
 
 log = get_log("rates")
 
@@ -101,20 +102,12 @@
     waiting: int = 0
     level: float = math.inf
     level_at_s: float = 0.0
-    clock_ms: float = 0.0
-    clock_heard_s: float = 0.0
-
-    def now_ms(self) -> float:
-        """Returns a lower bound of the store's clock, 0 if it was never heard."""
-        if not self.clock_ms:
-            return 0.0
-        return self.clock_ms + (elapsed_s() - self.clock_heard_s) * 1000
 
 
 class Allotments:
     """Hands out tokens of workspaces."""
 
-    def __init__(self, table: VersionedTable, settings: GatewaySettings) -> None:
+    def __init__(self, table: StoreGate, settings: GatewaySettings) -> None:
         self._table = table
         self._settings = settings
         self._allotments: dict[str, _Allotment] = {}
@@ -133,7 +126,6 @@
         than `max_wait_s`, and `StoreUnavailable` if the store cannot tell.
         """
         allotment = self._allotment(workspace)
-        allotment.demand.count(wanted)
         self._refuse_hopeless(allotment, workspace, max_wait_s)
         give_up_s = elapsed_s() + max_wait_s
         if begins_program:
@@ -142,8 +134,10 @@
         try:
             async with allotment.lock:
                 while True:
-                    taken = allotment.drawn.take(self._portion(allotment, wanted))
+                    portion = self._portion(allotment, workspace, wanted)
+                    taken = allotment.drawn.take(portion)
                     if taken:
+                        allotment.demand.count(taken)
                         return taken
                     wait_s = await self._draw(allotment, workspace)
                     if wait_s and elapsed_s() + wait_s > give_up_s:
@@ -199,8 +193,14 @@
         return known
 
     @staticmethod
-    def _portion(allotment: _Allotment, wanted: int) -> int:
-        """Others that wait get a token each before anybody gets more."""
+    def _portion(allotment: _Allotment, workspace: Workspace, wanted: int) -> int:
+        """
+        Returns how many tokens a VM gets that wants some ahead.
+
+        What it does not use is lost to the workspace, so a low bucket gives one.
+        """
+        if allotment.level < workspace.burst * RESERVE_SHARE:
+            return 1
         spare = math.floor(allotment.drawn.tokens) - allotment.waiting + 1
         return max(1, min(wanted, spare))
 
@@ -214,7 +214,7 @@
 
         def draw(value: dict[str, Any] | None) -> dict[str, Any] | None:
             nonlocal got
-            now_ms, level = allotment.now_ms(), workspace.burst
+            now_ms, level = self._table.clock.now_ms(), workspace.burst
             if value is not None:
                 now_ms = max(now_ms, value["at_ms"])
                 gained = (now_ms - value["at_ms"]) / 1000 * workspace.rate_per_s
@@ -226,13 +226,11 @@
             return {"level": level - got, "at_ms": now_ms}
 
         try:
-            _, now_ms = await change_row(self._table, allotment.row, draw)
+            await change_row(self._table, allotment.row, draw)
         except (TableUnavailable, AnswerLost) as error:
             raise StoreUnavailable(
                 f"rate of {workspace.name}: {error!r}", retry_after_s=STORE_RETRY_S
             ) from error
-        if now_ms:
-            allotment.clock_ms, allotment.clock_heard_s = float(now_ms), elapsed_s()
         if not got:
             missing = 1 - allotment.level
             return max(MIN_WAIT_S, missing / workspace.rate_per_s)
--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -183,7 +183,7 @@
         unreported: int,
     ) -> bool:
         try:
-            written, _ = await change_row(
+            written = await change_row(
                 self._table, ledger.row, change, reread=True
             )
         except AnswerLost as error:
--- a/packages/gateway/src/damasksaddle_gateway/front.py
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -50,8 +50,8 @@
 log = get_log("front")
 
 # A key may work for this share of the bound on revocation after the last proof; the
-# rest covers the time between a read's sending and the change that it missed.
-KEY_FRESH_SHARE = 0.75
+# rest covers what a request takes from this check to its upstream.
+KEY_FRESH_SHARE = 0.92
 # Retry-After of refusals that pass by themselves.
 NOT_FRESH_RETRY_S = 0.5
 NO_UPSTREAM_RETRY_S = 0.2
@@ -402,6 +402,7 @@
             "An upstream was tried.",
             request=call.facts.request_id,
             program=call.facts.program.id if call.facts.program else "",
+            workspace=call.workspace.name if call.workspace else "",
             route=call.route.name,
             upstream=upstream.id,
             outcome=outcome,
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -18,6 +18,7 @@
 from damasksaddle_gateway.rates import Rates
 from damasksaddle_gateway.roster import Roster
 from damasksaddle_gateway.settings import Address, GatewaySettings
+from damasksaddle_gateway.store import StoreGate
 from damasksaddle_gateway.upstreams import UpstreamClient
 from damasksaddle_gateway.view import View
 
@@ -69,6 +70,7 @@
     ) -> None:
         super().__init__()
         self.settings = settings
+        self.store = table = StoreGate(table)
         self.view = View(table, decoder, settings.drain_ms)
         self.roster = Roster(table, settings)
         self.peers = Peers(table, self.roster, settings)
--- a/packages/gateway/src/damasksaddle_gateway/rates.py
+++ b/packages/gateway/src/damasksaddle_gateway/rates.py
@@ -80,8 +80,8 @@
         if not workspace.rate_per_s:
             return
         account = self._accounts.setdefault(workspace.name, _Account())
-        account.demand.count()
         if not begins_program and account.drawn.take(1):
+            account.demand.count()
             return
         lapse = lapse_s(workspace, self._settings) * (1 - HOLDER_SHARE)
         ahead = math.floor(account.demand.per_s() * lapse * AHEAD_SHARE)
@@ -95,6 +95,7 @@
                 begins_program,
             ),
         )
+        account.demand.count()
         left = account.drawn.take(math.ceil(account.drawn.tokens))
         account.drawn.tokens = left + taken - 1
         account.drawn.until_s = asked_s + lapse
--- a/packages/gateway/src/damasksaddle_gateway/rows.py
+++ b/packages/gateway/src/damasksaddle_gateway/rows.py
@@ -7,10 +7,12 @@
 
 from damasksaddle.exceptions import AnswerLost, RowTaken, TableUnavailable
 from damasksaddle.platform import Put, Row, VersionedTable
-from damasksaddle.utils import new_id
+from damasksaddle.utils import elapsed_s, new_id
 
 # Tries before a change that keeps losing against other VMs is given up.
 MAX_TRIES = 6
+# A change is not tried again after this time; a request waits for most of them.
+PATIENCE_S = 0.8
 
 
 @dataclass(slots=True)
@@ -30,27 +32,29 @@
     cached: CachedRow,
     change: Change,
     reread: bool = False,
-) -> tuple[bool, int]:
+) -> bool:
     """
     Applies a change to the current value of a row.
 
     `change` gets the value, or None if there is no row, and returns the new one, or
     None to leave the row as it is; with `reread` it may say so only of a value that
-    was just read. Returns whether a value was written, and the
-    table's clock in milliseconds (0 if it was not heard). Each value carries the id
-    of the change, so that a change whose answer was lost is recognized when it is
+    was just read. Returns whether a value was written. Each value carries the id of
+    the change, so that a change whose answer was lost is recognized when it is
     sent again. Raises `TableUnavailable` if the change did not take effect, and
     `AnswerLost` if that is not known.
     """
     operation = new_id("op")
     uncertain = False
-    for _ in range(MAX_TRIES):
+    began_s = elapsed_s()
+    for tries in range(MAX_TRIES):
+        if tries and elapsed_s() - began_s > PATIENCE_S:
+            break
         value = change(cached.value)
         if value is None:
             if uncertain:
                 raise AnswerLost(cached.key)
             if not reread:
-                return False, 0
+                return False
             _note(cached, await table.row(cached.key))
             reread = False
             continue
@@ -63,7 +67,7 @@
             _note(cached, rows[0] if rows else None)
             reread = False
             if cached.value and cached.value.get("operation") == operation:
-                return True, 0
+                return True
             if uncertain:
                 # The lost write may have been applied and then changed by others.
                 raise AnswerLost(cached.key) from error
@@ -76,10 +80,10 @@
                 raise AnswerLost(cached.key) from error
             raise
         cached.version, cached.value = page.version, value
-        return True, page.now_ms
+        return True
     if uncertain:
         raise AnswerLost(cached.key)
-    raise TableUnavailable(f"{cached.key}: too many conflicts")
+    raise TableUnavailable(f"{cached.key}: lost against other VMs")
 
 
 def _note(cached: CachedRow, row: Row | None) -> None:
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -0,0 +1,120 @@
+"""
+The gateway's way to the store: gives up early while it does not answer.
+
+Reads that follow the configuration and the upstreams go on while the store is away;
+their first success ends the outage for all other calls, which fail at once until
+then. So no request is held for a store that cannot answer.
+"""
+
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from damasksaddle.exceptions import AnswerLost, TableUnavailable
+from damasksaddle.platform import Page, Put, Row, VersionedTable
+from damasksaddle.utils import elapsed_s, get_log
+
+log = get_log("store")
+
+Result = TypeVar("Result")
+
+# Failures in a row after which the store counts as away. Single answers may be lost
+# while it works.
+FAILURES_TO_OPEN = 3
+
+
+class StoreClock:
+    """
+    Places the store's answers on this VM's clock.
+
+    The store's clock is steady, so its distance to this VM's clock is bounded by each
+    exchange; the tightest bound so far tells when an answer was made at the earliest.
+    """
+
+    def __init__(self) -> None:
+        self._offset_s: float | None = None
+        self._latest_ms = 0.0
+        self._heard_s = 0.0
+
+    def now_ms(self) -> float:
+        """Returns a lower bound of the store's clock, 0 if it was never heard."""
+        if not self._latest_ms:
+            return 0.0
+        return self._latest_ms + (elapsed_s() - self._heard_s) * 1000
+
+    def hear(self, now_ms: float) -> None:
+        """Books the clock that an answer told, which was made before now."""
+        if now_ms > self.now_ms():
+            self._latest_ms, self._heard_s = now_ms, elapsed_s()
+
+    def made_s(self, sent_s: float, received_s: float, now_ms: float) -> float:
+        """Returns the earliest time at which an answer can have been made."""
+        now_s = now_ms / 1000
+        bound_s = now_s - sent_s
+        if self._offset_s is None or bound_s < self._offset_s:
+            self._offset_s = bound_s
+        made_s = now_s - self._offset_s
+        if made_s > received_s:
+            # The store's clock started anew; nothing is known but this exchange.
+            self._offset_s = bound_s
+            return sent_s
+        return max(sent_s, made_s)
+
+
+class StoreGate:
+    """A `VersionedTable` that fails at once while the store is away."""
+
+    def __init__(self, table: VersionedTable) -> None:
+        self._table = table
+        self._failures = 0
+        self._lost_s = 0.0
+        self.clock = StoreClock()
+
+    def is_open(self) -> bool:
+        """Tells whether calls are worth making."""
+        return self._failures < FAILURES_TO_OPEN
+
+    async def row(self, key: str) -> Row | None:
+        self._check()
+        return await self._watch(self._table.row(key))
+
+    async def commit(self, puts: list[Put]) -> Page:
+        self._check()
+        return self._heard(await self._watch(self._table.commit(puts)))
+
+    async def page(self, prefix: str, after: str = "", limit: int = 500) -> Page:
+        return self._heard(await self._watch(self._table.page(prefix, after, limit)))
+
+    async def changes(self, table: str, after_version: int, wait_s: float) -> Page:
+        waiting = self._table.changes(table, after_version, wait_s)
+        return self._heard(await self._watch(waiting))
+
+    def _heard(self, page: Page) -> Page:
+        self.clock.hear(page.now_ms)
+        return page
+
+    def _check(self) -> None:
+        if not self.is_open():
+            away_s = elapsed_s() - self._lost_s
+            raise TableUnavailable(f"the store is away since {away_s:.1f} s")
+
+    async def _watch(self, call: Awaitable[Result]) -> Result:
+        try:
+            result = await call
+        except (TableUnavailable, AnswerLost) as error:
+            self._failures += 1
+            if self._failures == FAILURES_TO_OPEN:
+                self._lost_s = elapsed_s()
+                log.warning("The store does not answer.", error=repr(error))
+            raise
+        except Exception:
+            # Any other failure is an answer.
+            self._regained()
+            raise
+        self._regained()
+        return result
+
+    def _regained(self) -> None:
+        if not self.is_open():
+            away_s = round(elapsed_s() - self._lost_s, 3)
+            log.info("The store answers again.", away_s=away_s)
+        self._failures = 0
--- a/packages/gateway/src/damasksaddle_gateway/view.py
+++ b/packages/gateway/src/damasksaddle_gateway/view.py
@@ -5,25 +5,30 @@
 (after a start, or when the table has forgotten its history) is read whole. The list
 of upstreams is polled, because its rows change with every heartbeat.
 
-A view knows when it was last proved current. The proof counts from the moment at
-which the read was sent, on a clock that goes on while the VM is suspended.
+A view knows when it was last proved current, on a clock that goes on while the VM is
+suspended. An answer of the feed alone proves nothing, because a feed may fall behind in
+silence. But each read of the upstreams tells the store's newest version at that moment:
+once the feed has told all changes up to that version, the configuration was current
+then.
 """
 
 import asyncio
 import math
+from collections import deque
 
 from mode import Service
 
 from damasksaddle.exceptions import AnswerLost, HistoryForgotten, TableUnavailable
-from damasksaddle.platform import Row, VersionedTable, row_key
+from damasksaddle.platform import Page, Row, row_key
 from damasksaddle.utils import elapsed_s, get_log
 from damasksaddle_gateway.catalogue import Catalogue, Upstream
 from damasksaddle_gateway.interfaces import Decoder
+from damasksaddle_gateway.store import StoreGate
 
 log = get_log("view")
 
 # How long one read of the feed waits for a change. It bounds the age of the proof.
-FEED_WAIT_S = 1.0
+FEED_WAIT_S = 0.5
 # How often the upstreams are read: a third of the time in which a draining upstream
 # has to be left alone, so that one read may fail.
 UPSTREAM_POLL_SHARE = 1 / 3
@@ -40,7 +45,7 @@
     """The newest catalogue and upstreams that this VM knows."""
 
     def __init__(
-        self, table: VersionedTable, decoder: Decoder, drain_ms: float
+        self, table: StoreGate, decoder: Decoder, drain_ms: float
     ) -> None:
         super().__init__()
         self._table = table
@@ -51,9 +56,10 @@
         self.changed = asyncio.Event()
         self._config_version = 0
         self._config_proved_s = -math.inf
+        # When a version was the newest one, for versions that the feed has not reached.
+        self._newest: deque[tuple[float, int]] = deque(maxlen=64)
         self._upstreams_proved_s = -math.inf
         self._outage_ended_s = -math.inf
-        self._reachable = True
 
     def config_age_s(self) -> float:
         """Returns how long ago the catalogue was last proved current."""
@@ -81,7 +87,7 @@
             except HistoryForgotten:
                 log.info("The feed has forgotten its history; reading it all.")
             except (TableUnavailable, AnswerLost) as error:
-                self._lost("config", error)
+                log.debug("The configuration was not read.", error=repr(error))
                 await asyncio.sleep(RETRY_S)
 
     async def _read_config(self) -> None:
@@ -89,18 +95,26 @@
         page = await self._table.page(row_key(self._decoder.config_table, "", ""))
         self._apply(page.rows)
         self._config_version = page.version
-        self._config_proved_s = sent_s
-        self._regained()
+        self._note_version(sent_s, page)
 
     async def _read_changes(self) -> None:
-        sent_s = elapsed_s()
         page = await self._table.changes(
             self._decoder.config_table, self._config_version, FEED_WAIT_S
         )
         self._apply(page.rows)
         self._config_version = max(self._config_version, page.version)
-        self._config_proved_s = sent_s
-        self._regained()
+        self._prove()
+
+    def _note_version(self, sent_s: float, page: Page) -> None:
+        """Books which version was the newest when a page was read."""
+        made_s = self._table.clock.made_s(sent_s, elapsed_s(), page.now_ms)
+        self._newest.append((made_s, page.version))
+        self._prove()
+
+    def _prove(self) -> None:
+        while self._newest and self._newest[0][1] <= self._config_version:
+            made_s, _ = self._newest.popleft()
+            self._config_proved_s = max(self._config_proved_s, made_s)
 
     def _apply(self, rows: list[Row]) -> None:
         for row in rows:
@@ -126,7 +140,7 @@
             try:
                 await self._read_upstreams()
             except (TableUnavailable, AnswerLost) as error:
-                self._lost("upstreams", error)
+                log.debug("The upstreams were not read.", error=repr(error))
                 pause_s = RETRY_S
             await asyncio.sleep(pause_s)
 
@@ -134,6 +148,7 @@
         sent_s = elapsed_s()
         prefix = row_key(self._decoder.upstream_table, "", "")
         page = await self._table.page(prefix)
+        self._note_version(sent_s, page)
         rows = list(page.rows)
         while not page.complete:
             page = await self._table.page(prefix, after=page.rows[-1].key)
@@ -141,7 +156,6 @@
         if sent_s - self._upstreams_proved_s > OUTAGE_S:
             self._outage_ended_s = sent_s
         self._upstreams_proved_s = sent_s
-        self._regained()
         self._replace(rows, sent_s)
 
     def _replace(self, rows: list[Row], now_s: float) -> None:
@@ -175,13 +189,3 @@
     def _notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
-
-    def _lost(self, what: str, error: Exception) -> None:
-        if self._reachable:
-            self._reachable = False
-            log.warning("The store does not answer.", read=what, error=repr(error))
-
-    def _regained(self) -> None:
-        if not self._reachable:
-            self._reachable = True
-            log.info("The store answers again.")
--- a/packages/standins/src/damasksaddle_standins/versioned.py
+++ b/packages/standins/src/damasksaddle_standins/versioned.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from damasksaddle.exceptions import (
     AnswerLost,
@@ -55,6 +55,8 @@
         """Forgets the history up to now."""
         self.history.clear()
         self.forgotten = self.version
+        self.changed.set()
+        self.changed = asyncio.Event()
 
 
 class VersionedStandin:
@@ -62,7 +64,8 @@
     One client's view of the rows.
 
     `down` refuses every call, `lose` decides for each write whether its answer is
-    lost after it took effect, and `silent` keeps the feed from telling anything.
+    lost after it took effect. `silent` keeps the feed from telling anything: it then
+    names no newer version than the one that was asked for.
     """
 
     def __init__(self, rows: VersionedRows) -> None:
@@ -96,8 +99,7 @@
 
     async def changes(self, table: str, after_version: int, wait_s: float) -> Page:
         await self._call(CALL_S)
-        if after_version < self._rows.forgotten:
-            raise HistoryForgotten(table)
+        self._check_known(table, after_version)
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + wait_s
         while loop.time() < ends_s:
@@ -113,9 +115,15 @@
                     await self._rows.changed.wait()
             except TimeoutError:
                 break
+            self._check_known(table, after_version)
         if self.down:
             raise TableUnavailable("the stand-in is down")
-        return self._page([])
+        page = self._page([])
+        return replace(page, version=after_version) if self.silent else page
+
+    def _check_known(self, table: str, after_version: int) -> None:
+        if after_version < self._rows.forgotten:
+            raise HistoryForgotten(table)
 
     async def commit(self, puts: list[Put]) -> Page:
         await self._call(CALL_S + TRANSACTION_S)
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -7,6 +7,7 @@
 from damasksaddle.exceptions import RateExceeded, StoreUnavailable
 from damasksaddle_gateway.allotments import Allotments
 from damasksaddle_gateway.catalogue import Workspace
+from damasksaddle_gateway.store import StoreGate
 from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
 from tests.gateway.conftest import make_settings
 
@@ -18,7 +19,11 @@
 
 
 def _vms(rows: VersionedRows, number: int) -> list[Allotments]:
-    return [Allotments(VersionedStandin(rows), make_settings()) for _ in range(number)]
+    return [_vm(VersionedStandin(rows)) for _ in range(number)]
+
+
+def _vm(table: VersionedStandin) -> Allotments:
+    return Allotments(StoreGate(table), make_settings())
 
 
 def _busiest_window(times_s: list[float]) -> int:
@@ -54,7 +59,7 @@
 
 async def test_a_short_lack_is_waited_out(table: VersionedStandin) -> None:
     """Guards against refusing a call whose token comes within its patience."""
-    vm = Allotments(table, make_settings())
+    vm = _vm(table)
     loop = asyncio.get_running_loop()
     for _ in range(40):
         await vm.take(RATE, 1, 0.4, False)
@@ -63,8 +68,43 @@
 
 async def test_programs_under_way_go_before_new_ones(table: VersionedStandin) -> None:
     """Guards against beginning programs that then cannot be finished."""
-    vm = Allotments(table, make_settings())
+    vm = _vm(table)
     with pytest.raises(RateExceeded):
         for _ in range(40):
             await vm.take(RATE, 1, 0.0, True)
     await vm.take(RATE, 1, 0.0, False)
+
+
+async def test_refused_programs_waste_nothing(table: VersionedStandin) -> None:
+    """Guards against tokens that are handed out for requests that were refused."""
+    vm = _vm(table)
+    loop = asyncio.get_running_loop()
+    under_way = 0
+    while loop.time() < 10:
+        for _ in range(10):
+            try:
+                # A VM that expects more than it uses loses the rest.
+                await vm.take(RATE, 4, 0.0, True)
+            except RateExceeded:
+                pass
+        try:
+            await vm.take(RATE, 4, 0.0, False)
+            under_way += 1
+        except RateExceeded:
+            pass
+        await asyncio.sleep(0.05)
+    assert under_way >= 0.5 * 10 / 0.05
+
+
+async def test_a_restart_with_an_empty_bucket_refills(rows: VersionedRows) -> None:
+    """Guards against a VM that never learns the store's time and admits nothing."""
+    before = _vms(rows, 1)[0]
+    with pytest.raises(RateExceeded):
+        while True:
+            await before.take(RATE, 1, 0.0, False)
+    gate = StoreGate(VersionedStandin(rows))
+    await gate.page("servers//")
+    after = Allotments(gate, make_settings())
+    await asyncio.sleep(1.0)
+    await after.take(RATE, 1, 0.2, False)
+    await after.take(RATE, 1, 0.2, False)
