--- a/packages/core/src/damasksaddle/utils/__init__.py
+++ b/packages/core/src/damasksaddle/utils/__init__.py
@@ -8,9 +8,9 @@
     Counter,
     Timing,
     count,
+    exposition,
     measure,
-    set_up_metrics,
-    use_sink,
+    reset_metrics,
 )
 
 __all__ = [
@@ -20,14 +20,14 @@
     "count",
     "digest_of",
     "elapsed_s",
+    "exposition",
     "get_log",
     "measure",
     "new_id",
     "partition_of",
     "rendezvous",
+    "reset_metrics",
     "seed_ids",
     "set_up_logs",
-    "set_up_metrics",
     "unix_s",
-    "use_sink",
 ]
--- a/packages/core/src/damasksaddle/utils/metrics.py
+++ b/packages/core/src/damasksaddle/utils/metrics.py
@@ -1,17 +1,20 @@
 """
-Metrics by statsd over UDP: counters and timings.
+Counters and latency histograms of this process, as `prometheus_client` keeps them.
 
-Names are fixed, apart from the code of a refusal, so that no key, token, body or name
-of a workspace can get into one. Until `set_up_metrics` is called nothing is sent.
+Names are fixed, and labels hold only codes, so that no key, token, body or name of a
+workspace can get into one. `exposition` returns the text that `/metrics` serves.
 """
 
-import socket
 from enum import StrEnum
-from typing import Protocol
 
-from statsd import StatsClient
-
-from damasksaddle.exceptions import SettingsInvalid
+from prometheus_client import (
+    CollectorRegistry,
+    Histogram,
+    generate_latest,
+)
+from prometheus_client import (
+    Counter as CounterMetric,
+)
 
 
 class Counter(StrEnum):
@@ -26,6 +29,10 @@
     PARTITIONS_TAKEN = "takeovers.partitions"
     STREAMS_TAKEN = "takeovers.streams"
     REMOVALS = "removals"
+    TRIES = "tries"
+    STORE_LOST = "store.lost"
+    ANSWERS_BROKEN = "answers.broken"
+    CALLERS_LEFT = "callers.left"
 
 
 class Timing(StrEnum):
@@ -36,6 +43,10 @@
     FIRST_TOKEN = "first_token"
     CALL = "call"
     COMMIT = "commit.time"
+    BUDGET_WAIT = "budget_wait"
+    PLACEMENT_WAIT = "placement_wait"
+    ANSWER = "answer"
+    STORE = "store.time"
 
 
 MEANINGS: dict[str, str] = {
@@ -48,56 +59,77 @@
     Counter.PARTITIONS_TAKEN: "partitions opened by a new holder",
     Counter.STREAMS_TAKEN: "commit streams taken over by a new committer",
     Counter.REMOVALS: "members that this VM removed after their lease ran out",
+    Counter.TRIES: "requests sent to an upstream, by their outcome",
+    Counter.STORE_LOST: "times that the store stopped answering",
+    Counter.ANSWERS_BROKEN: "answers that were broken off midway, by reason",
+    Counter.CALLERS_LEFT: "callers that closed their connection before the answer",
     Timing.RATE_WAIT: "wait for the workspace's rate",
     Timing.QUEUE_WAIT: "wait in the queue of a pool",
     Timing.FIRST_TOKEN: "from a call's start at its owner to its first token",
     Timing.CALL: "whole calls at their owner that ended with an outcome",
     Timing.COMMIT: "writing one row of a commit stream",
+    Timing.BUDGET_WAIT: "wait for a turn's part of its program's budget",
+    Timing.PLACEMENT_WAIT: "wait for room at an upstream",
+    Timing.ANSWER: "from a request's arrival to the end of its answer",
+    Timing.STORE: "one call of the platform's store",
 }
 
 
-class Sink(Protocol):
-    """Where metrics go; `statsd.StatsClient` is one."""
+# Upper bounds in milliseconds: from a call within a VM to a caller's deadline.
+BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000)
+PREFIX = "damasksaddle"
 
-    def incr(self, stat: str, count: int = 1) -> None: ...
 
-    def timing(self, stat: str, delta: float) -> None: ...
+def _name(kind: StrEnum) -> str:
+    return f"{PREFIX}_{kind.value.replace('.', '_')}"
 
 
-_sink: Sink | None = None
+class _Metrics:
+    """All metrics of one process; each exists from the start with the value zero."""
 
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.counters = {
+            kind: CounterMetric(
+                _name(kind), MEANINGS[kind], ["detail"], registry=self.registry
+            )
+            for kind in Counter
+        }
+        self.timings = {
+            kind: Histogram(
+                f"{_name(kind)}_ms",
+                MEANINGS[kind],
+                buckets=BUCKETS_MS,
+                registry=self.registry,
+            )
+            for kind in Timing
+        }
 
-def set_up_metrics(host: str, port: int, prefix: str) -> None:
-    """
-    Sends metrics to a statsd server from now on; nothing needs to listen there.
 
-    The address is looked up here and never again, because a lookup blocks. Raises
-    `SettingsInvalid` if there is none.
-    """
-    try:
-        found = socket.getaddrinfo(host, port, type=socket.SOCK_DGRAM)
-    except OSError as error:
-        raise SettingsInvalid(f"--statsd-host: {host}: {error.strerror}") from error
-    family, _, _, _, address = found[0]
-    client = StatsClient(
-        str(address[0]), port, prefix=prefix, ipv6=family == socket.AF_INET6
-    )
-    use_sink(client)
+_metrics = _Metrics()
 
 
-def use_sink(sink: Sink | None) -> None:
-    """Sends metrics to a sink; None drops them."""
-    global _sink
-    _sink = sink
+def reset_metrics() -> None:
+    """Sets all metrics back to zero, for tests."""
+    global _metrics
+    _metrics = _Metrics()
 
 
 def count(name: Counter, detail: str = "", number: int = 1) -> None:
-    """Counts events; `detail` is a code that extends the name."""
-    if _sink is not None:
-        _sink.incr(f"{name}.{detail}" if detail else str(name), number)
+    """Counts events; `detail` is a code that becomes a label."""
+    _metrics.counters[name].labels(detail).inc(number)
 
 
 def measure(name: Timing, duration_ms: float) -> None:
     """Reports how long something took."""
-    if _sink is not None:
-        _sink.timing(str(name), duration_ms)
+    _metrics.timings[name].observe(duration_ms)
+
+
+def counted(name: Counter, detail: str = "") -> int:
+    """Returns how many events were counted."""
+    return int(_metrics.counters[name].labels(detail)._value.get())
+
+
+def exposition() -> bytes:
+    """Returns all metrics as text."""
+    return generate_latest(_metrics.registry)
--- a/packages/node/src/damasksaddle_node/commands/serve.py
+++ b/packages/node/src/damasksaddle_node/commands/serve.py
@@ -14,7 +14,8 @@
 from damasksaddle import __version__
 from damasksaddle.exceptions import SettingsInvalid
 from damasksaddle.platform import HttpObjects, HttpTable, HttpVmList
-from damasksaddle.utils import get_log, set_up_logs, set_up_metrics
+from damasksaddle.utils import get_log, set_up_logs
+from damasksaddle.utils.metrics_server import serve_metrics
 from damasksaddle_node.dump import dump_state
 from damasksaddle_node.node import Node
 from damasksaddle_node.peers import TcpNetwork
@@ -57,9 +58,12 @@
             tls=tls,
         )
         await node.start()
+        metrics = await serve_metrics(settings.metrics_host, settings.metrics_port)
+        log.info("Metrics are served.", address=metrics.addresses[0])
         print(f"ready {node.vm_id} {node.http_url} {node.admin_url}", flush=True)
         status = await _until_stopped(node)
         await node.stop()
+        await metrics.cleanup()
         if status == EXIT_HURRIED:
             # Nothing of it runs any more, so its successors need not wait for its
             # lease to run out.
@@ -137,7 +141,6 @@
     settings = check_settings(given)
     tls = load_tls(settings.tls)
     set_up_logs(settings.log_level)
-    set_up_metrics(settings.statsd_host, settings.statsd_port, settings.statsd_prefix)
     return asyncio.run(serve(settings, tls))
 
 
--- a/packages/node/src/damasksaddle_node/settings.py
+++ b/packages/node/src/damasksaddle_node/settings.py
@@ -76,9 +76,8 @@
     max_body_bytes: int = 4 * 1024 * 1024
     max_pending_bytes: int = 64 * 1024 * 1024
     max_undurable_micros: int = 1_000_000
-    statsd_host: str = "127.0.0.1"
-    statsd_port: int = 8125
-    statsd_prefix: str = "damasksaddle"
+    metrics_host: str = "127.0.0.1"
+    metrics_port: int = 0
     log_level: str = "info"
     timing: Timing = Timing()
     tls: TlsFiles = TlsFiles()
--- a/packages/node/src/damasksaddle_node/settings_input.py
+++ b/packages/node/src/damasksaddle_node/settings_input.py
@@ -173,14 +173,11 @@
     )
 
     # Logs and metrics.
-    statsd_host: Host = Field(
-        "127.0.0.1", description="Where metrics are sent; looked up once, at start."
+    metrics_host: Host = Field(
+        "127.0.0.1", description="Address on which metrics are served."
     )
-    statsd_port: Annotated[int, Field(ge=1, le=65535)] = Field(
-        8125, description="UDP port; nothing needs to listen there."
-    )
-    statsd_prefix: Annotated[str, Field(pattern=r"^[A-Za-z0-9_.-]+$")] = Field(
-        "damasksaddle", description="First part of each metric's name."
+    metrics_port: Annotated[int, Field(ge=0, le=65535)] = Field(
+        0, description="Port on which `/metrics` is served; 0 picks a free one."
     )
     log_level: Literal["debug", "info", "warning", "error"] = Field(
         "info", description="Least level that is logged."
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -97,6 +97,51 @@
     tokens: int
 
 
+@dataclass(slots=True)
+class ReserveTokens:
+    """
+    Asks the holder of a program's budget to set tokens aside for one turn.
+
+    It waits `patience_ms` for other turns to settle. A reservation that is not
+    settled within `lapse_ms` counts as used.
+    """
+
+    workspace: str
+    program_id: str
+    budget_tokens: int
+    most_tokens: int
+    patience_ms: int
+    lapse_ms: int
+
+
+@dataclass(slots=True)
+class TokensReserved:
+    """A reservation; the turn may generate `tokens`."""
+
+    reservation: int
+    tokens: int
+
+
+@dataclass(slots=True)
+class SettleTokens:
+    """Tells what a turn used of its reservation."""
+
+    reservation: int
+    used_tokens: int
+
+
+@dataclass(slots=True)
+class StoreReach:
+    """Asks when the store last answered the receiver."""
+
+
+@dataclass(slots=True)
+class StoreReached:
+    """The store answered the sender `age_ms` ago."""
+
+    age_ms: int
+
+
 @dataclass(slots=True)
 class Acquired:
     """The request was admitted after `waited_ms`."""
@@ -298,6 +343,11 @@
     | Register
     | TakeTokens
     | TokensTaken
+    | ReserveTokens
+    | TokensReserved
+    | SettleTokens
+    | StoreReach
+    | StoreReached
 )
 
 
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -35,6 +35,11 @@
     register @28 :Register;
     takeTokens @29 :TakeTokens;
     tokensTaken @30 :TokensTaken;
+    reserveTokens @31 :ReserveTokens;
+    tokensReserved @32 :TokensReserved;
+    settleTokens @33 :SettleTokens;
+    storeReach @34 :StoreReach;
+    storeReached @35 :StoreReached;
   }
 }
 
@@ -203,3 +208,28 @@
 struct TokensTaken {
   tokens @0 :UInt32;
 }
+
+struct ReserveTokens {
+  workspace @0 :Text;
+  programId @1 :Text;
+  budgetTokens @2 :UInt32;   # of the whole program
+  mostTokens @3 :UInt32;     # that this turn may generate
+  patienceMs @4 :UInt32;     # how long to wait for other turns to settle
+  lapseMs @5 :UInt32;        # after this time without a settlement all count as used
+}
+
+struct TokensReserved {
+  reservation @0 :UInt64;
+  tokens @1 :UInt32;
+}
+
+struct SettleTokens {
+  reservation @0 :UInt64;
+  usedTokens @1 :UInt32;
+}
+
+struct StoreReach {}
+
+struct StoreReached {
+  ageMs @0 :UInt32;          # since the store answered the sender
+}
--- a/tools/make_reference.py
+++ b/tools/make_reference.py
@@ -152,12 +152,13 @@
 def _metrics() -> Iterator[str]:
     yield "## Metrics"
     yield (
-        "Names follow the prefix, `damasksaddle` by default. Counters are sent as `c`, "
-        "times in milliseconds as `ms`."
+        "Served as text on `/metrics` of the metrics address. Names begin with "
+        "`damasksaddle_`, with `_` for each dot; counters end in `_total`, and times "
+        "are histograms in milliseconds that end in `_ms`."
     )
     rows = [
         [
-            f"`{name}.CODE`" if name == Counter.REFUSALS else f"`{name}`",
+            f"`{name}`, by code" if name == Counter.REFUSALS else f"`{name}`",
             "counter" if isinstance(name, Counter) else "time",
             meaning,
         ]
