--- a/packages/gateway/src/damasksaddle_gateway/allotments.py
+++ b/packages/gateway/src/damasksaddle_gateway/allotments.py
@@ -6,6 +6,9 @@
 once and the rate still holds: a window can exceed it only by what was drawn before
 the window began, and `lapse_s` is chosen so that this fits the overrun that is allowed.
 
+While the store is away for all VMs, `may_go_on` lets the holder hand out tokens from
+the level that it knew; what it handed out is taken off the row afterwards.
+
 Requests wait in line for a short time when the bucket is empty. A request that begins
 a program is refused while the bucket is low, so that the programs under way can end:
 one that has to stop midway has used its share of the rate for nothing.
@@ -13,6 +16,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -102,14 +106,22 @@
     waiting: int = 0
     level: float = math.inf
     level_at_s: float = 0.0
+    # Handed out without the store, which the next draw has to take off the row.
+    owed: float = 0.0
 
 
 class Allotments:
     """Hands out tokens of workspaces."""
 
-    def __init__(self, table: StoreGate, settings: GatewaySettings) -> None:
+    def __init__(
+        self,
+        table: StoreGate,
+        settings: GatewaySettings,
+        may_go_on: Callable[[str], bool] = lambda name: False,
+    ) -> None:
         self._table = table
         self._settings = settings
+        self._may_go_on = may_go_on
         self._allotments: dict[str, _Allotment] = {}
 
     async def take(
@@ -139,7 +151,7 @@
                     if taken:
                         allotment.demand.count(taken)
                         return taken
-                    wait_s = await self._draw(allotment, workspace)
+                    wait_s = await self._draw_or_go_on(allotment, workspace)
                     if wait_s and elapsed_s() + wait_s > give_up_s:
                         raise self._exceeded(allotment, workspace, wait_s)
                     await asyncio.sleep(wait_s)
@@ -167,6 +179,37 @@
         level = min(workspace.burst, allotment.level + gained)
         return allotment.waiting + 1 - level - allotment.drawn.tokens
 
+    async def _draw_or_go_on(
+        self, allotment: _Allotment, workspace: Workspace
+    ) -> float:
+        """Draws from the store, or from the last known level while it is away."""
+        try:
+            return await self._draw(allotment, workspace)
+        except StoreUnavailable:
+            if not self._may_go_on(workspace.name):
+                raise
+        if math.isinf(allotment.level):
+            allotment.level, allotment.level_at_s = 0.0, elapsed_s()
+        now_s = elapsed_s()
+        gained = (now_s - allotment.level_at_s) * workspace.rate_per_s
+        level = min(workspace.burst, allotment.level + gained)
+        got = float(max(0, math.floor(min(level, self._wanted(allotment, workspace)))))
+        allotment.level, allotment.level_at_s = level - got, now_s
+        allotment.owed += got
+        if not got:
+            return max(MIN_WAIT_S, (1 - level) / workspace.rate_per_s)
+        self._hold(allotment, workspace, got)
+        return 0.0
+
+    def _wanted(self, allotment: _Allotment, workspace: Workspace) -> int:
+        ahead_s = lapse_s(workspace, self._settings) * HOLDER_SHARE * AHEAD_SHARE
+        return allotment.waiting + math.ceil(allotment.demand.per_s() * ahead_s)
+
+    def _hold(self, allotment: _Allotment, workspace: Workspace, got: float) -> None:
+        lapse = lapse_s(workspace, self._settings) * HOLDER_SHARE
+        allotment.drawn.tokens = got
+        allotment.drawn.until_s = elapsed_s() + lapse
+
     def _refuse_hopeless(
         self, allotment: _Allotment, workspace: Workspace, max_wait_s: float
     ) -> None:
@@ -206,8 +249,8 @@
 
     async def _draw(self, allotment: _Allotment, workspace: Workspace) -> float:
         """Draws tokens; returns how long to wait before the next draw, 0 if some."""
-        ahead_s = lapse_s(workspace, self._settings) * HOLDER_SHARE * AHEAD_SHARE
-        wanted = allotment.waiting + math.ceil(allotment.demand.per_s() * ahead_s)
+        wanted = self._wanted(allotment, workspace)
+        owed = allotment.owed
         got = 0.0
         # What was drawn and not used goes back, also after it lapsed.
         unused, allotment.drawn.tokens = allotment.drawn.tokens, 0.0
@@ -218,10 +261,10 @@
             if value is not None:
                 now_ms = max(now_ms, value["at_ms"])
                 gained = (now_ms - value["at_ms"]) / 1000 * workspace.rate_per_s
-                level = min(workspace.burst, value["level"] + gained + unused)
+                level = min(workspace.burst, value["level"] + gained + unused) - owed
             got = max(0.0, math.floor(min(level, wanted)))
             allotment.level, allotment.level_at_s = level - got, elapsed_s()
-            if not got and not unused:
+            if not got and not unused and not owed:
                 return None
             return {"level": level - got, "at_ms": now_ms}
 
@@ -231,11 +274,9 @@
             raise StoreUnavailable(
                 f"rate of {workspace.name}: {error!r}", retry_after_s=STORE_RETRY_S
             ) from error
+        allotment.owed -= owed
         if not got:
             missing = 1 - allotment.level
             return max(MIN_WAIT_S, missing / workspace.rate_per_s)
-        allotment.drawn.tokens = got
-        allotment.drawn.until_s = elapsed_s() + lapse_s(
-            workspace, self._settings
-        ) * HOLDER_SHARE
+        self._hold(allotment, workspace, got)
         return 0.0
--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -5,6 +5,10 @@
 known to be spent. A VM takes a block by compare-and-set before a turn runs, so no
 two VMs can spend the same token. What a VM took and did not report as spent counts as
 spent when the VM is lost. A VM gives back what it does not use soon after the turn.
+
+While the store is away for all VMs, `may_go_on` lets the program's holder grant more
+than it took, but never more than one turn: if the holder is lost too, the program has
+exceeded its budget by one turn at most. The row learns of it when the store is back.
 """
 
 import asyncio
@@ -40,6 +44,9 @@
 # How often a program that waits for other VMs to settle looks again.
 SETTLE_POLL_S = 0.2
 STORE_RETRY_S = 0.5
+# In an outage, a turn may start with this share of its largest size: most turns end
+# long before that size, and one that does not is broken off.
+SMALLEST_TURN_SHARE = 0.4
 MAX_LEDGERS = 4096
 
 
@@ -47,14 +54,21 @@
 class Ledger:
     """One program's tokens at this VM."""
 
+    name: str
     row: CachedRow
     held: int = 0
+    # Granted without the store, and not yet in the row.
+    overdraft: int = 0
     running: int = 0
     unreported: int = 0
     used_s: float = 0.0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     give_back: asyncio.TimerHandle | None = None
 
+    def open_tokens(self) -> int:
+        """Returns how many tokens the row does not show as they are."""
+        return self.held + self.unreported + self.overdraft
+
 
 @dataclass(slots=True)
 class Reservation:
@@ -68,10 +82,16 @@
 class Budgets(Service):
     """Reserves tokens for turns, and settles what they used."""
 
-    def __init__(self, table: VersionedTable, settle_s: float) -> None:
+    def __init__(
+        self,
+        table: VersionedTable,
+        settle_s: float,
+        may_go_on: Callable[[str], bool] = lambda name: False,
+    ) -> None:
         super().__init__()
         self._table = table
         self._settle_s = settle_s
+        self._may_go_on = may_go_on
         self._ledgers: OrderedDict[str, Ledger] = OrderedDict()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -79,7 +99,7 @@
         self, workspace: str, program: str, budget: int, most: int, patience_s: float
     ) -> Reservation:
         """
-        Sets aside the most tokens that one turn may generate.
+        Sets aside the most tokens that one turn may generate, or fewer in an outage.
 
         Waits at most `patience_s` for other turns to settle if the budget may hold
         this one then. Raises `BudgetExceeded`, or `StoreUnavailable` if the store
@@ -89,7 +109,7 @@
         give_up_s = elapsed_s() + min(patience_s, self._settle_s)
         ledger.running += 1
         try:
-            while not await self._try_reserve(ledger, budget, most):
+            while not (tokens := await self._try_reserve(ledger, budget, most)):
                 spent = self._spent(ledger)
                 if spent + most > budget or elapsed_s() >= give_up_s:
                     log.info(
@@ -105,7 +125,7 @@
         except BaseException:
             self._ended(ledger)
             raise
-        return Reservation(ledger, program, most)
+        return Reservation(ledger, program, tokens)
 
     def settle(self, reservation: Reservation, used: int) -> None:
         """Books what a turn used, and frees the rest of its reservation."""
@@ -125,7 +145,8 @@
         ledger = self._ledgers.get(name)
         if ledger is None:
             part = f"{partition_of(workspace, program) % PARTS:02d}"
-            ledger = Ledger(CachedRow(row_key(TABLE, part, name.replace("/", "|"))))
+            row = CachedRow(row_key(TABLE, part, name.replace("/", "|")))
+            ledger = Ledger(name, row)
             self._ledgers[name] = ledger
             self._drop_idle()
         self._ledgers.move_to_end(name)
@@ -136,7 +157,7 @@
             if len(self._ledgers) <= MAX_LEDGERS:
                 return
             ledger = self._ledgers[name]
-            if not ledger.running and not ledger.held and not ledger.unreported:
+            if not ledger.running and not ledger.open_tokens():
                 del self._ledgers[name]
 
     @staticmethod
@@ -148,18 +169,43 @@
         reported = ledger.row.value["spent"] if ledger.row.value else 0
         return reported + ledger.unreported
 
-    async def _try_reserve(self, ledger: Ledger, budget: int, most: int) -> bool:
+    async def _try_reserve(self, ledger: Ledger, budget: int, most: int) -> int:
+        """Returns how many tokens were set aside, 0 if there are too few."""
         async with ledger.lock:
+            tokens = most
             if ledger.held < most:
-                await self._take(ledger, budget, most)
-            if ledger.held < most:
-                return False
-            ledger.held -= most
-            return True
+                try:
+                    await self._take(ledger, budget, most)
+                except StoreUnavailable:
+                    tokens = self._overdraw(ledger, most)
+                    if not tokens:
+                        raise
+            if ledger.held < tokens:
+                return 0
+            ledger.held -= tokens
+            return tokens
+
+    def _overdraw(self, ledger: Ledger, most: int) -> int:
+        """Returns what a turn may generate while the store is away, 0 if too little."""
+        if not self._may_go_on(ledger.name):
+            return 0
+        tokens = min(most, ledger.held + most - ledger.overdraft)
+        if tokens < most * SMALLEST_TURN_SHARE:
+            return 0
+        more = max(0, tokens - ledger.held)
+        ledger.overdraft += more
+        ledger.held += more
+        log.info(
+            "Granted without the store.",
+            program=ledger.name,
+            tokens=tokens,
+            overdraft=ledger.overdraft,
+        )
+        return tokens
 
     async def _take(self, ledger: Ledger, budget: int, most: int) -> None:
         asked = 0
-        unreported = ledger.unreported
+        unreported, overdraft = ledger.unreported, ledger.overdraft
 
         def take(value: dict[str, Any] | None) -> dict[str, Any] | None:
             nonlocal asked
@@ -169,12 +215,16 @@
             ahead = most * TURNS_AHEAD - ledger.held
             if granted + ahead <= budget * AMPLE_SHARE:
                 asked = ahead
-            if granted + asked > budget:
+            if granted + overdraft + asked > budget:
                 return None
-            return {"granted": granted + asked, "spent": spent + unreported}
+            return {
+                "granted": granted + overdraft + asked,
+                "spent": spent + unreported,
+            }
 
         if await self._change(ledger, take, unreported):
             ledger.held += asked
+            ledger.overdraft -= overdraft
 
     async def _change(
         self,
@@ -183,9 +233,7 @@
         unreported: int,
     ) -> bool:
         try:
-            written = await change_row(
-                self._table, ledger.row, change, reread=True
-            )
+            written = await change_row(self._table, ledger.row, change, reread=True)
         except AnswerLost as error:
             # Spent tokens that are reported twice could end a program too early.
             # Those that are never reported still count as granted.
@@ -212,21 +260,21 @@
 
     async def _give_back(self, ledger: Ledger) -> None:
         async with ledger.lock:
-            if ledger.running or not (ledger.held or ledger.unreported):
+            if ledger.running or not ledger.open_tokens():
                 return
             unused, ledger.held = ledger.held, 0
-            unreported = ledger.unreported
+            unreported, overdraft = ledger.unreported, ledger.overdraft
 
             def give(value: dict[str, Any] | None) -> dict[str, Any] | None:
-                if value is None:
-                    return None
+                granted, spent = (value["granted"], value["spent"]) if value else (0, 0)
                 return {
-                    "granted": value["granted"] - unused,
-                    "spent": value["spent"] + unreported,
+                    "granted": granted + overdraft - unused,
+                    "spent": spent + unreported,
                 }
 
             try:
                 await self._change(ledger, give, unreported)
+                ledger.overdraft -= overdraft
             except StoreUnavailable as error:
                 if not isinstance(error.__cause__, AnswerLost):
                     ledger.held += unused
@@ -235,7 +283,7 @@
     async def on_stop(self) -> None:
         """Gives back what this VM holds, as far as the store answers."""
         for ledger in self._ledgers.values():
-            if ledger.held or ledger.unreported:
+            if ledger.open_tokens():
                 self._start_give_back(ledger)
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=0.5)
--- a/packages/gateway/src/damasksaddle_gateway/front.py
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -21,8 +21,7 @@
     RouteNotFound,
     UpstreamUnavailable,
 )
-from damasksaddle.utils import elapsed_s, get_log
-from damasksaddle_gateway.budgets import Budgets, Reservation
+from damasksaddle.utils import Counter, Timing, count, elapsed_s, get_log, measure
 from damasksaddle_gateway.catalogue import (
     AtMostOnce,
     Catalogue,
@@ -38,6 +37,7 @@
 from damasksaddle_gateway.interfaces import RequestFacts, Wire
 from damasksaddle_gateway.placement import Placement
 from damasksaddle_gateway.rates import Rates
+from damasksaddle_gateway.turns import TurnBudgets, TurnReservation
 from damasksaddle_gateway.upstreams import (
     Answer,
     BrokenOff,
@@ -80,7 +80,7 @@
     tried: list[str] = field(default_factory=list)
     may_have_run: bool = False
     tokens_used: int = 0
-    reservation: Reservation | None = None
+    reservation: TurnReservation | None = None
     events: EventSplitter = field(default_factory=EventSplitter)
     response: web.StreamResponse | None = None
 
@@ -95,7 +95,7 @@
         self,
         view: View,
         rates: Rates,
-        budgets: Budgets,
+        turns: TurnBudgets,
         placement: Placement,
         upstreams: UpstreamClient,
         wire: Wire,
@@ -103,7 +103,7 @@
     ) -> None:
         self._view = view
         self._rates = rates
-        self._budgets = budgets
+        self._turns = turns
         self._placement = placement
         self._upstreams = upstreams
         self._wire = wire
@@ -126,10 +126,14 @@
         self.running += 1
         try:
             call = await self._admit(request, facts, began_s)
-            return await self._serve(request, call)
+            count(Counter.REQUESTS)
+            response = await self._serve(request, call)
+            measure(Timing.ANSWER, (elapsed_s() - began_s) * 1000)
+            return response
         except Refusal as error:
             return self._refuse(facts, error, began_s)
         except asyncio.CancelledError:
+            count(Counter.CALLERS_LEFT)
             log.info("The caller left.", request=facts.request_id)
             raise
         finally:
@@ -138,6 +142,7 @@
     def _refuse(
         self, facts: RequestFacts, error: Refusal, began_s: float
     ) -> web.Response:
+        count(Counter.REFUSALS, error.code)
         catalogue = self._view.catalogue
         workspace = catalogue.workspace(facts.key) if catalogue else None
         log.info(
@@ -202,6 +207,7 @@
             await self._rates.acquire(
                 workspace, time_ms / 1000 * RATE_PATIENCE_SHARE, facts.begins_program()
             )
+            measure(Timing.RATE_WAIT, (elapsed_s() - began_s) * 1000)
         return call
 
     def _fresh_catalogue(self) -> Catalogue:
@@ -238,18 +244,20 @@
             return
         if not isinstance(call.route.kind, Streaming):
             return
-        call.reservation = await self._budgets.reserve(
+        began_s = elapsed_s()
+        call.reservation = await self._turns.reserve(
             call.workspace.name,
             program.id,
             program.budget_tokens,
             call.facts.max_output_tokens,
             call.time_left_s() * BUDGET_PATIENCE_SHARE,
+            call.time_left_s(),
         )
+        measure(Timing.BUDGET_WAIT, (elapsed_s() - began_s) * 1000)
 
     def _settle(self, call: Call) -> None:
         if call.reservation is not None:
-            used = min(call.tokens_used, call.reservation.tokens)
-            self._budgets.settle(call.reservation, used)
+            self._turns.settle(call.reservation, call.tokens_used)
         if not call.may_have_run and call.workspace is not None:
             self._rates.give_back(call.workspace)
 
@@ -356,8 +364,11 @@
         tokens_per_event = engine.tokens_per_event if engine else 0
         async for chunk in answer.chunks():
             for event in call.events.feed(chunk):
-                response = await self._start_stream(request, call, answer)
                 call.tokens_used += tokens_per_event
+                if call.reservation and call.tokens_used > call.reservation.tokens:
+                    call.tokens_used -= tokens_per_event
+                    raise FateUnknown("the turn is larger than its reservation")
+                response = await self._start_stream(request, call, answer)
                 await response.write(event)
             if call.events.last_id:
                 call.last_event_id = call.events.last_id
@@ -384,6 +395,7 @@
         self, request: web.BaseRequest, call: Call, reason: str
     ) -> web.StreamResponse:
         """Ends a begun answer so that it does not look complete."""
+        count(Counter.ANSWERS_BROKEN, reason)
         log.info(
             "Broke off an answer.",
             request=call.facts.request_id,
@@ -398,6 +410,7 @@
     def _log_try(
         self, call: Call, upstream: Upstream, outcome: str, error: Exception | None
     ) -> None:
+        count(Counter.TRIES, outcome)
         log.info(
             "An upstream was tried.",
             request=call.facts.request_id,
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -9,16 +9,20 @@
 
 from damasksaddle.platform import VersionedTable
 from damasksaddle.utils import elapsed_s, get_log
+from damasksaddle.utils.metrics_server import metrics_response
 from damasksaddle_gateway.allotments import Allotments
 from damasksaddle_gateway.budgets import Budgets
 from damasksaddle_gateway.front import Front
+from damasksaddle_gateway.holders import Holders
 from damasksaddle_gateway.interfaces import Decoder, Wire
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.placement import Placement
 from damasksaddle_gateway.rates import Rates
+from damasksaddle_gateway.reach import Reach
 from damasksaddle_gateway.roster import Roster
 from damasksaddle_gateway.settings import Address, GatewaySettings
 from damasksaddle_gateway.store import StoreGate
+from damasksaddle_gateway.turns import TurnBudgets
 from damasksaddle_gateway.upstreams import UpstreamClient
 from damasksaddle_gateway.view import View
 
@@ -74,17 +78,24 @@
         self.view = View(table, decoder, settings.drain_ms)
         self.roster = Roster(table, settings)
         self.peers = Peers(table, self.roster, settings)
+        self.reach = Reach(settings.vm, table, self.roster, self.peers)
+        holders = Holders(settings.vm, self.roster, self.peers)
+
+        def may_go_on(name: str) -> bool:
+            return self.reach.is_away_for_all() and holders.is_holder(name)
+
         self.rates = Rates(
-            Allotments(table, settings), self.roster, self.peers, self.view, settings
+            Allotments(table, settings, may_go_on), holders, self.view, settings
         )
         self.rates.register(self.peers.handlers)
-        self.budgets = Budgets(table, settings.settle_ms / 1000)
+        self.budgets = Budgets(table, settings.settle_ms / 1000, may_go_on)
+        self.turns = TurnBudgets(settings.vm, self.budgets, holders, self.peers)
         self.placement = Placement()
         self.upstreams = UpstreamClient(wire)
         self.front = Front(
             self.view,
             self.rates,
-            self.budgets,
+            self.turns,
             self.placement,
             self.upstreams,
             wire,
@@ -96,7 +107,14 @@
         self._runners: list[web.ServerRunner] = []
 
     def on_init_dependencies(self) -> list[ServiceT]:
-        return [self.view, self.roster, self.peers, self.budgets]
+        return [
+            self.view,
+            self.roster,
+            self.peers,
+            self.reach,
+            self.turns,
+            self.budgets,
+        ]
 
     async def on_start(self) -> None:
         await self.upstreams.start()
@@ -104,6 +122,7 @@
         await self._listen(self.front.handle, settings.callers)
         await self._listen(self._on_ready, settings.ready)
         await self._listen(self._on_directory, settings.directory)
+        await self._listen(metrics_response, settings.metrics)
         log.info("Started.", vm=settings.vm, callers=settings.callers)
 
     async def _on_ready(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -123,7 +142,9 @@
         )
         runner = web.ServerRunner(server)
         await runner.setup()
-        await web.TCPSite(runner, address.host, address.port, reuse_address=True).start()
+        await web.TCPSite(
+            runner, address.host, address.port, reuse_address=True
+        ).start()
         self._runners.append(runner)
 
     async def drain(self) -> None:
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/holders.py
@@ -0,0 +1,67 @@
+"""
+Finds the VM that keeps a workspace's rate or a program's budget.
+
+The holder is the first of the live VMs by a hash of the name, so all VMs mostly agree
+on it without a message. That is only for speed: what the holder hands out it took from
+the store by compare-and-set, and where it cannot answer, the next one may.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from damasksaddle.exceptions import PeerError, StoreUnavailable
+from damasksaddle.utils import get_log, rendezvous
+from damasksaddle_gateway.peers import Peers
+from damasksaddle_gateway.roster import Roster
+from damasksaddle_protocol import Message
+
+log = get_log("holders")
+
+# A peer answers within a round trip between failure domains and a few store calls.
+PEER_TIMEOUT_S = 0.15
+# The holder and those that are asked in its place.
+MAX_ASKED = 3
+STORE_RETRY_S = 0.5
+
+
+class Holders:
+    """Asks holders, this VM among them."""
+
+    def __init__(self, vm: str, roster: Roster, peers: Peers) -> None:
+        self._vm = vm
+        self._roster = roster
+        self._peers = peers
+
+    def is_holder(self, name: str) -> bool:
+        """Tells whether this VM is the first that is asked."""
+        return rendezvous(name, self._roster.alive())[0] == self._vm
+
+    async def ask(
+        self,
+        name: str,
+        message: Message,
+        local: Callable[[], Awaitable[Message]],
+        wait_s: float,
+    ) -> tuple[str, Message]:
+        """
+        Returns who answered, and the answer; `wait_s` is how long it may wait.
+
+        Raises the holder's `Refusal`, or `StoreUnavailable` if nobody can answer.
+        """
+        asked = rendezvous(name, self._roster.alive())[:MAX_ASKED]
+        if self._vm not in asked:
+            asked[-1] = self._vm
+        for vm in asked:
+            try:
+                if vm == self._vm:
+                    return vm, await local()
+                timeout_s = PEER_TIMEOUT_S + wait_s
+                return vm, await self._peers.request(vm, message, timeout_s)
+            except (PeerError, StoreUnavailable, TimeoutError) as error:
+                log.info(
+                    "A holder could not answer.",
+                    name=name,
+                    holder=vm,
+                    asked=type(message).__name__,
+                    error=repr(error),
+                )
+        raise StoreUnavailable(f"{name}: no holder", retry_after_s=STORE_RETRY_S)
--- a/packages/gateway/src/damasksaddle_gateway/rates.py
+++ b/packages/gateway/src/damasksaddle_gateway/rates.py
@@ -1,17 +1,15 @@
 """
 Admits requests of a workspace within its rate over all VMs.
 
-One VM, chosen by a hash of the workspace over the live VMs, draws the workspace's
-tokens from the store and hands them out; the others ask it, and take a few ahead. If
-it does not answer, a VM draws from the store itself: two VMs that hand out tokens of
-one workspace are harmless, since both draw from the same row.
+The workspace's holder draws its tokens from the store and hands them out; the others
+ask it, and take a few ahead. Two VMs that hand out tokens of one workspace are
+harmless, since both draw from the same row.
 """
 
-import asyncio
 import math
 
-from damasksaddle.exceptions import PeerError, RateExceeded
-from damasksaddle.utils import elapsed_s, get_log, rendezvous
+from damasksaddle.exceptions import RateExceeded
+from damasksaddle.utils import elapsed_s
 from damasksaddle_gateway.allotments import (
     AHEAD_SHARE,
     HOLDER_SHARE,
@@ -21,18 +19,12 @@
     lapse_s,
 )
 from damasksaddle_gateway.catalogue import Workspace
-from damasksaddle_gateway.peers import Peers
-from damasksaddle_gateway.roster import Roster
+from damasksaddle_gateway.holders import Holders
 from damasksaddle_gateway.settings import GatewaySettings
 from damasksaddle_gateway.view import View
 from damasksaddle_node.peers import Handlers, Sender
 from damasksaddle_protocol import TakeTokens, TokensTaken
 
-log = get_log("rates")
-
-# A peer answers within a round trip between failure domains, and after waiting for
-# its store; if it takes this much longer, the store is asked directly.
-PEER_TIMEOUT_S = 0.15
 # How long a request may wait for its turn instead of being refused: shorter than
 # the pause after which a caller would come back.
 MAX_WAIT_S = 0.4
@@ -52,14 +44,12 @@
     def __init__(
         self,
         allotments: Allotments,
-        roster: Roster,
-        peers: Peers,
+        holders: Holders,
         view: View,
         settings: GatewaySettings,
     ) -> None:
         self._allotments = allotments
-        self._roster = roster
-        self._peers = peers
+        self._holders = holders
         self._view = view
         self._settings = settings
         self._accounts: dict[str, _Account] = {}
@@ -107,21 +97,13 @@
             account.drawn.tokens += 1
 
     async def _take(self, workspace: Workspace, message: TakeTokens) -> int:
-        holder = rendezvous(workspace.name, self._roster.alive())[0]
-        if holder != self._settings.vm:
-            timeout_s = PEER_TIMEOUT_S + message.max_wait_ms / 1000
-            try:
-                answer = await self._peers.request(holder, message, timeout_s)
-                if isinstance(answer, TokensTaken):
-                    return answer.tokens
-            except (PeerError, TimeoutError, asyncio.IncompleteReadError) as error:
-                log.info(
-                    "A peer did not hand out tokens; drawing from the store.",
-                    workspace=workspace.name,
-                    peer=holder,
-                    error=repr(error),
-                )
-        return await self._draw(workspace, message)
+        async def local() -> TokensTaken:
+            return TokensTaken(await self._draw(workspace, message))
+
+        wait_s = message.max_wait_ms / 1000
+        _, answer = await self._holders.ask(workspace.name, message, local, wait_s)
+        assert isinstance(answer, TokensTaken)
+        return answer.tokens
 
     async def _draw(self, workspace: Workspace, message: TakeTokens) -> int:
         return await self._allotments.take(
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/reach.py
@@ -0,0 +1,91 @@
+"""
+Tells an outage of the store for all VMs from one for this VM only.
+
+While the store does not answer, this VM asks some others when it last answered them.
+If it answers anybody, that VM can act in place of this one, and this one does nothing
+alone. Only if it answers none of them may holders go on for a short time on what they
+know.
+"""
+
+import asyncio
+import random
+
+from mode import Service
+
+from damasksaddle.exceptions import PeerError, Refusal
+from damasksaddle.utils import elapsed_s, get_log
+from damasksaddle_gateway.peers import Peers
+from damasksaddle_gateway.roster import Roster
+from damasksaddle_gateway.store import StoreGate
+from damasksaddle_node.peers import Sender
+from damasksaddle_protocol import StoreReach, StoreReached
+
+log = get_log("reach")
+
+POLL_S = 0.25
+PEER_TIMEOUT_S = 0.2
+# With a third of the VMs turned away, it is one in 200,000 that all of these are.
+MAX_ASKED = 12
+# A store that answered a peer within this time is there for it. It is longer than the
+# pause between two reads of the upstreams.
+RECENT_S = 0.9
+# What peers said is believed for this time.
+BELIEF_S = 0.8
+# So many of those asked have to answer.
+MIN_ANSWERED_SHARE = 0.5
+
+
+class Reach(Service):
+    """Knows whether the store is away for all VMs."""
+
+    def __init__(self, vm: str, store: StoreGate, roster: Roster, peers: Peers) -> None:
+        super().__init__()
+        self._vm = vm
+        self._store = store
+        self._roster = roster
+        self._peers = peers
+        self._confirmed_s = 0.0
+        peers.handlers.add(StoreReach, self._on_reach)
+
+    def is_away_for_all(self) -> bool:
+        """Tells whether an outage was confirmed by other VMs a moment ago."""
+        if self._store.is_open():
+            return False
+        return 0 < elapsed_s() - self._confirmed_s < BELIEF_S
+
+    async def _on_reach(self, message: StoreReach, sender: Sender) -> StoreReached:
+        return StoreReached(min(2**31, int(self._store.silence_s() * 1000)))
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            await self._store.closed.wait()
+            await self._ask()
+            await asyncio.sleep(POLL_S)
+
+    async def _ask(self) -> None:
+        others = [vm for vm in self._roster.alive() if vm != self._vm]
+        asked = random.sample(others, min(MAX_ASKED, len(others)))
+        asked_s = elapsed_s()
+        ages = await asyncio.gather(*(self._age_s(vm) for vm in asked))
+        answered = [age for age in ages if age is not None]
+        if len(answered) < MIN_ANSWERED_SHARE * len(asked):
+            return
+        if any(age < RECENT_S for age in answered):
+            return
+        if not self.is_away_for_all():
+            log.warning(
+                "The store is away for all VMs that answer.",
+                asked=len(asked),
+                answered=len(answered),
+                least_age_s=round(min(answered, default=0.0), 2),
+            )
+        self._confirmed_s = asked_s
+
+    async def _age_s(self, vm: str) -> float | None:
+        try:
+            answer = await self._peers.request(vm, StoreReach(), PEER_TIMEOUT_S)
+        except (PeerError, Refusal) as error:
+            log.debug("A peer did not tell of the store.", peer=vm, error=repr(error))
+            return None
+        return answer.age_ms / 1000 if isinstance(answer, StoreReached) else None
--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -6,12 +6,14 @@
 then. So no request is held for a store that cannot answer.
 """
 
+import asyncio
+import math
 from collections.abc import Awaitable
 from typing import TypeVar
 
 from damasksaddle.exceptions import AnswerLost, TableUnavailable
 from damasksaddle.platform import Page, Put, Row, VersionedTable
-from damasksaddle.utils import elapsed_s, get_log
+from damasksaddle.utils import Counter, count, elapsed_s, get_log
 
 log = get_log("store")
 
@@ -19,7 +21,7 @@
 
 # Failures in a row after which the store counts as away. Single answers may be lost
 # while it works.
-FAILURES_TO_OPEN = 3
+FAILURES_TO_CLOSE = 3
 
 
 class StoreClock:
@@ -67,11 +69,18 @@
         self._table = table
         self._failures = 0
         self._lost_s = 0.0
+        self._answered_s = -math.inf
         self.clock = StoreClock()
+        # Set while the store is away.
+        self.closed = asyncio.Event()
 
     def is_open(self) -> bool:
         """Tells whether calls are worth making."""
-        return self._failures < FAILURES_TO_OPEN
+        return self._failures < FAILURES_TO_CLOSE
+
+    def silence_s(self) -> float:
+        """Returns how long ago the store last answered."""
+        return elapsed_s() - self._answered_s
 
     async def row(self, key: str) -> Row | None:
         self._check()
@@ -102,8 +111,10 @@
             result = await call
         except (TableUnavailable, AnswerLost) as error:
             self._failures += 1
-            if self._failures == FAILURES_TO_OPEN:
+            if self._failures == FAILURES_TO_CLOSE:
                 self._lost_s = elapsed_s()
+                self.closed.set()
+                count(Counter.STORE_LOST)
                 log.warning("The store does not answer.", error=repr(error))
             raise
         except Exception:
@@ -117,4 +128,6 @@
         if not self.is_open():
             away_s = round(elapsed_s() - self._lost_s, 3)
             log.info("The store answers again.", away_s=away_s)
+            self.closed.clear()
         self._failures = 0
+        self._answered_s = elapsed_s()
--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -153,9 +153,7 @@
                 response.close()
             response.release()
 
-    async def _head(
-        self, response: aiohttp.ClientResponse, request_id: str
-    ) -> Answer:
+    async def _head(self, response: aiohttp.ClientResponse, request_id: str) -> Answer:
         facts = self._wire.answer(response.status, response.headers)
         if facts.request_id and facts.request_id != request_id:
             response.close()
--- a/packages/gateway/src/damasksaddle_gateway/view.py
+++ b/packages/gateway/src/damasksaddle_gateway/view.py
@@ -44,9 +44,7 @@
 class View(Service):
     """The newest catalogue and upstreams that this VM knows."""
 
-    def __init__(
-        self, table: StoreGate, decoder: Decoder, drain_ms: float
-    ) -> None:
+    def __init__(self, table: StoreGate, decoder: Decoder, drain_ms: float) -> None:
         super().__init__()
         self._table = table
         self._decoder = decoder
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -3,9 +3,9 @@
 import asyncio
 
 import pytest
+from damasksaddle_gateway.budgets import Budgets
 
 from damasksaddle.exceptions import BudgetExceeded, StoreUnavailable
-from damasksaddle_gateway.budgets import Budgets
 from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
 
 MOST = 288
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -3,11 +3,11 @@
 import asyncio
 
 import pytest
-
-from damasksaddle.exceptions import RateExceeded, StoreUnavailable
 from damasksaddle_gateway.allotments import Allotments
 from damasksaddle_gateway.catalogue import Workspace
 from damasksaddle_gateway.store import StoreGate
+
+from damasksaddle.exceptions import RateExceeded, StoreUnavailable
 from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
 from tests.gateway.conftest import make_settings
 
