--- a/packages/gateway/src/damasksaddle_gateway/allotments.py
+++ b/packages/gateway/src/damasksaddle_gateway/allotments.py
@@ -16,7 +16,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -117,7 +117,7 @@
         self,
         table: StoreGate,
         settings: GatewaySettings,
-        may_go_on: Callable[[str], bool] = lambda name: False,
+        may_go_on: Callable[[str], Awaitable[bool]],
     ) -> None:
         self._table = table
         self._settings = settings
@@ -186,7 +186,7 @@
         try:
             return await self._draw(allotment, workspace)
         except StoreUnavailable:
-            if not self._may_go_on(workspace.name):
+            if not await self._may_go_on(workspace.name):
                 raise
         if math.isinf(allotment.level):
             allotment.level, allotment.level_at_s = 0.0, elapsed_s()
@@ -251,22 +251,22 @@
         """Draws tokens; returns how long to wait before the next draw, 0 if some."""
         wanted = self._wanted(allotment, workspace)
         owed = allotment.owed
-        got = 0.0
+        got = left = 0.0
         # What was drawn and not used goes back, also after it lapsed.
         unused, allotment.drawn.tokens = allotment.drawn.tokens, 0.0
 
         def draw(value: dict[str, Any] | None) -> dict[str, Any] | None:
-            nonlocal got
+            nonlocal got, left
             now_ms, level = self._table.clock.now_ms(), workspace.burst
             if value is not None:
                 now_ms = max(now_ms, value["at_ms"])
                 gained = (now_ms - value["at_ms"]) / 1000 * workspace.rate_per_s
                 level = min(workspace.burst, value["level"] + gained + unused) - owed
             got = max(0.0, math.floor(min(level, wanted)))
-            allotment.level, allotment.level_at_s = level - got, elapsed_s()
+            left = level - got
             if not got and not unused and not owed:
                 return None
-            return {"level": level - got, "at_ms": now_ms}
+            return {"level": left, "at_ms": now_ms}
 
         try:
             await change_row(self._table, allotment.row, draw)
@@ -274,9 +274,10 @@
             raise StoreUnavailable(
                 f"rate of {workspace.name}: {error!r}", retry_after_s=STORE_RETRY_S
             ) from error
+        allotment.level, allotment.level_at_s = left, elapsed_s()
         allotment.owed -= owed
         if not got:
-            missing = 1 - allotment.level
+            missing = 1 - left
             return max(MIN_WAIT_S, missing / workspace.rate_per_s)
         self._hold(allotment, workspace, got)
         return 0.0
--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -13,7 +13,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -86,7 +86,7 @@
         self,
         table: VersionedTable,
         settle_s: float,
-        may_go_on: Callable[[str], bool] = lambda name: False,
+        may_go_on: Callable[[str], Awaitable[bool]],
     ) -> None:
         super().__init__()
         self._table = table
@@ -177,7 +177,7 @@
                 try:
                     await self._take(ledger, budget, most)
                 except StoreUnavailable:
-                    tokens = self._overdraw(ledger, most)
+                    tokens = await self._overdraw(ledger, most)
                     if not tokens:
                         raise
             if ledger.held < tokens:
@@ -185,9 +185,9 @@
             ledger.held -= tokens
             return tokens
 
-    def _overdraw(self, ledger: Ledger, most: int) -> int:
+    async def _overdraw(self, ledger: Ledger, most: int) -> int:
         """Returns what a turn may generate while the store is away, 0 if too little."""
-        if not self._may_go_on(ledger.name):
+        if not await self._may_go_on(ledger.name):
             return 0
         tokens = min(most, ledger.held + most - ledger.overdraft)
         if tokens < most * SMALLEST_TURN_SHARE:
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -39,7 +39,7 @@
 
 
 class Directory:
-    """Tells callers which addresses to use, and the platform whether this VM is ready."""
+    """Tells callers which addresses to use, and whether this VM is ready."""
 
     def __init__(
         self, front: Front, roster: Roster, wire: Wire, address_ttl_s: float
@@ -79,10 +79,10 @@
         self.roster = Roster(table, settings)
         self.peers = Peers(table, self.roster, settings)
         self.reach = Reach(settings.vm, table, self.roster, self.peers)
-        holders = Holders(settings.vm, self.roster, self.peers)
+        holders = Holders(settings.vm, table, self.roster, self.peers)
 
-        def may_go_on(name: str) -> bool:
-            return self.reach.is_away_for_all() and holders.is_holder(name)
+        async def may_go_on(name: str) -> bool:
+            return holders.is_holder(name) and await self.reach.confirm()
 
         self.rates = Rates(
             Allotments(table, settings, may_go_on), holders, self.view, settings
--- a/packages/gateway/src/damasksaddle_gateway/holders.py
+++ b/packages/gateway/src/damasksaddle_gateway/holders.py
@@ -11,7 +11,9 @@
 from damasksaddle.exceptions import PeerError, StoreUnavailable
 from damasksaddle.utils import get_log, rendezvous
 from damasksaddle_gateway.peers import Peers
+from damasksaddle_gateway.reach import CONFIRM_WAIT_S
 from damasksaddle_gateway.roster import Roster
+from damasksaddle_gateway.store import StoreGate
 from damasksaddle_protocol import Message
 
 log = get_log("holders")
@@ -26,8 +28,9 @@
 class Holders:
     """Asks holders, this VM among them."""
 
-    def __init__(self, vm: str, roster: Roster, peers: Peers) -> None:
+    def __init__(self, vm: str, store: StoreGate, roster: Roster, peers: Peers) -> None:
         self._vm = vm
+        self._store = store
         self._roster = roster
         self._peers = peers
 
@@ -50,6 +53,9 @@
         asked = rendezvous(name, self._roster.alive())[:MAX_ASKED]
         if self._vm not in asked:
             asked[-1] = self._vm
+        if not self._store.is_open():
+            # The holder may wait for an outage to be confirmed.
+            wait_s += CONFIRM_WAIT_S
         for vm in asked:
             try:
                 if vm == self._vm:
--- a/packages/gateway/src/damasksaddle_gateway/reach.py
+++ b/packages/gateway/src/damasksaddle_gateway/reach.py
@@ -1,8 +1,8 @@
 """
 Tells an outage of the store for all VMs from one for this VM only.
 
-While the store does not answer, this VM asks some others when it last answered them.
-If it answers anybody, that VM can act in place of this one, and this one does nothing
+While the store does not answer, this VM asks some others whether it answers them. If
+it answers anybody, that VM can act in place of this one, and this one does nothing
 alone. Only if it answers none of them may holders go on for a short time on what they
 know.
 """
@@ -22,13 +22,14 @@
 
 log = get_log("reach")
 
-POLL_S = 0.25
+POLL_S = 0.2
 PEER_TIMEOUT_S = 0.2
+# How long a request may wait until an outage is confirmed: the VMs notice it within one
+# read of the feed.
+CONFIRM_WAIT_S = 0.6
+CONFIRM_STEP_S = 0.05
 # With a third of the VMs turned away, it is one in 200,000 that all of these are.
 MAX_ASKED = 12
-# A store that answered a peer within this time is there for it. It is longer than the
-# pause between two reads of the upstreams.
-RECENT_S = 0.9
 # What peers said is believed for this time.
 BELIEF_S = 0.8
 # So many of those asked have to answer.
@@ -53,8 +54,17 @@
             return False
         return 0 < elapsed_s() - self._confirmed_s < BELIEF_S
 
+    async def confirm(self) -> bool:
+        """Waits a moment for other VMs to notice the outage too."""
+        ends_s = elapsed_s() + CONFIRM_WAIT_S
+        while not self.is_away_for_all():
+            if self._store.is_open() or elapsed_s() >= ends_s:
+                return False
+            await asyncio.sleep(CONFIRM_STEP_S)
+        return True
+
     async def _on_reach(self, message: StoreReach, sender: Sender) -> StoreReached:
-        return StoreReached(min(2**31, int(self._store.silence_s() * 1000)))
+        return StoreReached(self._store.is_open())
 
     @Service.task
     async def _follow(self) -> None:
@@ -65,27 +75,27 @@
 
     async def _ask(self) -> None:
         others = [vm for vm in self._roster.alive() if vm != self._vm]
+        if not self._roster.is_known():
+            # A process that just started knows of nobody whom it could ask.
+            return
         asked = random.sample(others, min(MAX_ASKED, len(others)))
         asked_s = elapsed_s()
-        ages = await asyncio.gather(*(self._age_s(vm) for vm in asked))
-        answered = [age for age in ages if age is not None]
-        if len(answered) < MIN_ANSWERED_SHARE * len(asked):
-            return
-        if any(age < RECENT_S for age in answered):
+        told = await asyncio.gather(*(self._answers(vm) for vm in asked))
+        answered = [answers for answers in told if answers is not None]
+        if any(answered) or len(answered) < MIN_ANSWERED_SHARE * len(asked):
             return
         if not self.is_away_for_all():
             log.warning(
                 "The store is away for all VMs that answer.",
                 asked=len(asked),
                 answered=len(answered),
-                least_age_s=round(min(answered, default=0.0), 2),
             )
         self._confirmed_s = asked_s
 
-    async def _age_s(self, vm: str) -> float | None:
+    async def _answers(self, vm: str) -> bool | None:
         try:
             answer = await self._peers.request(vm, StoreReach(), PEER_TIMEOUT_S)
         except (PeerError, Refusal) as error:
             log.debug("A peer did not tell of the store.", peer=vm, error=repr(error))
             return None
-        return answer.age_ms / 1000 if isinstance(answer, StoreReached) else None
+        return answer.answers if isinstance(answer, StoreReached) else None
--- a/packages/gateway/src/damasksaddle_gateway/roster.py
+++ b/packages/gateway/src/damasksaddle_gateway/roster.py
@@ -56,6 +56,10 @@
         self._leaving = False
         self._read_s = -math.inf
 
+    def is_known(self) -> bool:
+        """Tells whether the VMs were ever read."""
+        return self._read_s > -math.inf
+
     def alive(self) -> list[str]:
         """Returns the VMs that are alive and stay, this one among them."""
         alive = [m.vm for m in self._members.values() if self._is_listed(m)]
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -132,14 +132,14 @@
 
 @dataclass(slots=True)
 class StoreReach:
-    """Asks when the store last answered the receiver."""
+    """Asks whether the store answers the receiver."""
 
 
 @dataclass(slots=True)
 class StoreReached:
-    """The store answered the sender `age_ms` ago."""
+    """Tells whether the store answers the sender."""
 
-    age_ms: int
+    answers: bool
 
 
 @dataclass(slots=True)
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -231,5 +231,5 @@
 struct StoreReach {}
 
 struct StoreReached {
-  ageMs @0 :UInt32;          # since the store answered the sender
+  answers @0 :Bool;          # whether the store answers the sender
 }
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -38,3 +38,13 @@
         "settle_ms": 1000.0,
     }
     return GatewaySettings(**{**values, **changes})  # type: ignore[arg-type]
+
+
+async def never(name: str) -> bool:
+    """No holder goes on without the store."""
+    return False
+
+
+async def always(name: str) -> bool:
+    """The outage is confirmed and this VM is the holder."""
+    return True
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -1,12 +1,17 @@
 """Programs must not generate more than their budget, whatever VMs and store do."""
 
 import asyncio
+import json
+from collections.abc import Awaitable, Callable
 
 import pytest
 from damasksaddle_gateway.budgets import Budgets
 
 from damasksaddle.exceptions import BudgetExceeded, StoreUnavailable
 from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
+from tests.gateway.conftest import always, never
+
+MayGoOn = Callable[[str], Awaitable[bool]]
 
 MOST = 288
 BUDGET = 3 * MOST
@@ -14,13 +19,17 @@
 pytestmark = pytest.mark.looptime
 
 
+def _budgets(table: VersionedStandin, may_go_on: MayGoOn = never) -> Budgets:
+    return Budgets(table, 1.0, may_go_on)
+
+
 async def _reserve(budgets: Budgets, patience_s: float = 0.0):
     return await budgets.reserve("ngo", "digest", BUDGET, MOST, patience_s)
 
 
 async def test_two_vms_share_one_budget(rows: VersionedRows) -> None:
     """Guards against each VM spending the whole budget."""
-    vms = [Budgets(VersionedStandin(rows), 1.0) for _ in range(4)]
+    vms = [_budgets(VersionedStandin(rows)) for _ in range(4)]
     outcomes = await asyncio.gather(
         *(_reserve(vm) for vm in vms), return_exceptions=True
     )
@@ -31,14 +40,14 @@
 async def test_a_lost_vm_leaves_what_it_took_spent(rows: VersionedRows) -> None:
     """Guards against a restart that forgets what an earlier process handed out."""
     for _ in range(3):
-        await _reserve(Budgets(VersionedStandin(rows), 1.0))
+        await _reserve(_budgets(VersionedStandin(rows)))
     with pytest.raises(BudgetExceeded):
-        await _reserve(Budgets(VersionedStandin(rows), 1.0))
+        await _reserve(_budgets(VersionedStandin(rows)))
 
 
 async def test_unused_tokens_come_back(rows: VersionedRows) -> None:
     """Guards against turns on another VM being refused for tokens nobody uses."""
-    first, second = (Budgets(VersionedStandin(rows), 1.0) for _ in range(2))
+    first, second = (_budgets(VersionedStandin(rows)) for _ in range(2))
     for _ in range(8):
         reservation = await _reserve(first)
         first.settle(reservation, 40)
@@ -50,7 +59,7 @@
 
 async def test_a_turn_waits_for_others_to_settle(rows: VersionedRows) -> None:
     """Guards against ending a program whose budget is only set aside for a moment."""
-    first, second = (Budgets(VersionedStandin(rows), 1.0) for _ in range(2))
+    first, second = (_budgets(VersionedStandin(rows)) for _ in range(2))
     running = [await _reserve(first) for _ in range(3)]
     waiting = asyncio.create_task(_reserve(second, patience_s=1.0))
     await asyncio.sleep(0.1)
@@ -65,7 +74,7 @@
     table.lose = lambda puts: table.calls % 2 == 0
     used = 0
     for _ in range(12):
-        budgets = Budgets(table, 1.0)
+        budgets = _budgets(table)
         try:
             reservation = await _reserve(budgets)
         except (BudgetExceeded, StoreUnavailable):
@@ -80,4 +89,40 @@
     """Guards against a guess about a budget that nobody can read."""
     table.down = True
     with pytest.raises(StoreUnavailable):
-        await _reserve(Budgets(table, 1.0))
+        await _reserve(_budgets(table))
+
+
+async def test_an_outage_grants_one_turn_beyond_the_row(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against a lost holder that granted more than the promise allows."""
+    granted = 0
+    for _ in range(2):
+        # The second holder knows nothing of what the first one granted.
+        budgets = _budgets(table, always)
+        table.down = True
+        for _ in range(20):
+            try:
+                reservation = await _reserve(budgets)
+            except StoreUnavailable:
+                break
+            budgets.settle(reservation, 70)
+            granted += 70
+        assert granted <= MOST
+        table.down = False
+        await asyncio.sleep(1.0)
+        granted = 0
+    await asyncio.sleep(1.0)
+    row = next(iter(rows.rows.values()))
+    assert json.loads(row.value)["granted"] >= 2 * 70
+
+
+async def test_an_outage_does_not_stop_a_program(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against refusing turns of a program under way for an outage."""
+    budgets = _budgets(table, always)
+    budgets.settle(await _reserve(budgets), 70)
+    table.down = True
+    for _ in range(4):
+        budgets.settle(await _reserve(budgets), 70)
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -1,6 +1,7 @@
 """A workspace's rate holds over all VMs, and what is within it is admitted."""
 
 import asyncio
+from contextlib import suppress
 
 import pytest
 from damasksaddle_gateway.allotments import Allotments
@@ -9,7 +10,7 @@
 
 from damasksaddle.exceptions import RateExceeded, StoreUnavailable
 from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
-from tests.gateway.conftest import make_settings
+from tests.gateway.conftest import always, make_settings, never
 
 RATE = Workspace("ngo", rate_per_s=30.0, burst=30.0)
 WINDOW_S = 5.0
@@ -23,7 +24,7 @@
 
 
 def _vm(table: VersionedStandin) -> Allotments:
-    return Allotments(StoreGate(table), make_settings())
+    return Allotments(StoreGate(table), make_settings(), never)
 
 
 def _busiest_window(times_s: list[float]) -> int:
@@ -82,11 +83,9 @@
     under_way = 0
     while loop.time() < 10:
         for _ in range(10):
-            try:
+            with suppress(RateExceeded):
                 # A VM that expects more than it uses loses the rest.
                 await vm.take(RATE, 4, 0.0, True)
-            except RateExceeded:
-                pass
         try:
             await vm.take(RATE, 4, 0.0, False)
             under_way += 1
@@ -104,7 +103,29 @@
             await before.take(RATE, 1, 0.0, False)
     gate = StoreGate(VersionedStandin(rows))
     await gate.page("servers//")
-    after = Allotments(gate, make_settings())
+    after = Allotments(gate, make_settings(), never)
     await asyncio.sleep(1.0)
     await after.take(RATE, 1, 0.2, False)
     await after.take(RATE, 1, 0.2, False)
+
+
+async def test_the_rate_goes_on_through_an_outage(table: VersionedStandin) -> None:
+    """Guards against refusing, or admitting twice, what comes during an outage."""
+    gate = StoreGate(table)
+    vm = Allotments(gate, make_settings(), always)
+    times_s: list[float] = []
+    loop = asyncio.get_running_loop()
+
+    async def outage() -> None:
+        await asyncio.sleep(6)
+        table.down = True
+        await asyncio.sleep(5)
+        table.down = False
+        while not gate.is_open():
+            await gate.page("servers//")
+
+    await asyncio.gather(_press(vm, 0.02, times_s), outage())
+    assert _busiest_window(times_s) <= ALLOWED
+    during = [t for t in times_s if 6 < t < 11]
+    assert len(during) >= 0.8 * 5 * RATE.rate_per_s
+    assert loop.time() >= 20
