--- a/packages/gateway/src/damasksaddle_gateway/allotments.py
+++ b/packages/gateway/src/damasksaddle_gateway/allotments.py
@@ -9,9 +9,8 @@
 While the store is away for all VMs, `may_go_on` lets the holder hand out tokens from
 the level that it knew; what it handed out is taken off the row afterwards.
 
-Requests wait in line for a short time when the bucket is empty. A request that begins
-a program is refused while the bucket is low, so that the programs under way can end:
-one that has to stop midway has used its share of the rate for nothing.
+Requests wait in line for a short time when the bucket is empty. A request may ask for a
+reserve to be left for more urgent ones; it is refused while the bucket is lower.
 """
 
 import asyncio
@@ -46,8 +45,8 @@
 AHEAD_SHARE = 0.8
 # The demand is averaged over about this time.
 DEMAND_S = 1.0
-# A request that begins a program needs this much of the burst left in the bucket.
-RESERVE_SHARE = 0.25
+# A bucket with less than this share of its burst hands out nothing ahead.
+LOW_SHARE = 0.25
 STORE_RETRY_S = 0.5
 MIN_RETRY_S = 0.1
 # A draw that found too little waits at least this long before the next.
@@ -129,7 +128,7 @@
         workspace: Workspace,
         wanted: int,
         max_wait_s: float,
-        begins_program: bool,
+        reserve: int,
     ) -> int:
         """
         Returns at least one token, and up to `wanted` if the bucket is ample.
@@ -140,8 +139,8 @@
         allotment = self._allotment(workspace)
         self._refuse_hopeless(allotment, workspace, max_wait_s)
         give_up_s = elapsed_s() + max_wait_s
-        if begins_program:
-            await self._wait_for_reserve(allotment, workspace, give_up_s)
+        if reserve:
+            await self._wait_for_reserve(allotment, workspace, reserve, give_up_s)
         allotment.waiting += 1
         try:
             async with allotment.lock:
@@ -159,12 +158,15 @@
             allotment.waiting -= 1
 
     async def _wait_for_reserve(
-        self, allotment: _Allotment, workspace: Workspace, give_up_s: float
+        self,
+        allotment: _Allotment,
+        workspace: Workspace,
+        reserve: int,
+        give_up_s: float,
     ) -> None:
-        """Waits, outside of the line, until the bucket is no longer low."""
+        """Waits, outside of the line, until the bucket holds more than the reserve."""
         while True:
-            missing = self._missing(allotment, workspace)
-            missing += workspace.burst * RESERVE_SHARE
+            missing = self._missing(allotment, workspace) + reserve
             if missing <= 0:
                 return
             wait_s = missing / workspace.rate_per_s
@@ -242,7 +244,7 @@
 
         What it does not use is lost to the workspace, so a low bucket gives one.
         """
-        if allotment.level < workspace.burst * RESERVE_SHARE:
+        if allotment.level < workspace.burst * LOW_SHARE:
             return 1
         spare = math.floor(allotment.drawn.tokens) - allotment.waiting + 1
         return max(1, min(wanted, spare))
--- a/packages/gateway/src/damasksaddle_gateway/catalogue.py
+++ b/packages/gateway/src/damasksaddle_gateway/catalogue.py
@@ -171,6 +171,13 @@
                 return route
         return None
 
+    def most_urgent_priority(self) -> int:
+        """Returns the priority of the most urgent routes of programs."""
+        return min(
+            (r.priority for r in self.routes if isinstance(r.kind, Streaming)),
+            default=0,
+        )
+
     def workspace(self, key: str) -> Workspace | None:
         """Returns the workspace that holds a key, or None if the key is unknown."""
         name = self.workspace_by_key.get(key)
--- a/packages/gateway/src/damasksaddle_gateway/front.py
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -205,7 +205,10 @@
         )
         if workspace is not None:
             await self._rates.acquire(
-                workspace, time_ms / 1000 * RATE_PATIENCE_SHARE, facts.begins_program()
+                workspace,
+                time_ms / 1000 * RATE_PATIENCE_SHARE,
+                facts.begins_program(),
+                route.priority == catalogue.most_urgent_priority(),
             )
             measure(Timing.RATE_WAIT, (elapsed_s() - began_s) * 1000)
         return call
@@ -319,7 +322,7 @@
             call.workspace,
             call.time_left_s() * 1000,
             call.last_event_id,
-            None,
+            self._engine_priority(call),
         )
         sent = self._upstreams.send(
             upstream,
@@ -407,6 +410,15 @@
             request.transport.close()
         return call.response
 
+    @staticmethod
+    def _engine_priority(call: Call) -> int | None:
+        """Returns how urgent an engine should take a request, 0 first."""
+        if call.service.engine is None:
+            return None
+        if call.workspace is not None and call.workspace.priority is not None:
+            return call.workspace.priority
+        return call.route.priority
+
     def _log_try(
         self, call: Call, upstream: Upstream, outcome: str, error: Exception | None
     ) -> None:
--- a/packages/gateway/src/damasksaddle_gateway/rates.py
+++ b/packages/gateway/src/damasksaddle_gateway/rates.py
@@ -28,6 +28,10 @@
 # How long a request may wait for its turn instead of being refused: shorter than
 # the pause after which a caller would come back.
 MAX_WAIT_S = 0.4
+# What a request that begins a program leaves of the burst: enough for the next calls of
+# the programs under way, which are a few hundred ms apart.
+RESERVE_SHARE = 0.3
+URGENT_RESERVE_SHARE = 0.1
 
 
 class _Account:
@@ -59,11 +63,19 @@
         handlers.add(TakeTokens, self._on_take)
 
     async def acquire(
-        self, workspace: Workspace, max_wait_s: float, begins_program: bool
+        self,
+        workspace: Workspace,
+        max_wait_s: float,
+        begins_program: bool,
+        urgent: bool = False,
     ) -> None:
         """
         Takes one token, waiting at most `max_wait_s` for it.
 
+        A request that begins a program leaves some tokens to the programs under way:
+        one that has to stop midway has used its part of the rate for nothing. The most
+        urgent programs leave fewer.
+
         Raises `RateExceeded` with the time until there will be one, or
         `StoreUnavailable` if the store cannot tell.
         """
@@ -82,7 +94,7 @@
                 workspace.name,
                 max(1, ahead),
                 int(min(max_wait_s, MAX_WAIT_S) * 1000),
-                begins_program,
+                self._reserve(workspace, begins_program, urgent),
             ),
         )
         account.demand.count()
@@ -90,6 +102,13 @@
         account.drawn.tokens = left + taken - 1
         account.drawn.until_s = asked_s + lapse
 
+    @staticmethod
+    def _reserve(workspace: Workspace, begins_program: bool, urgent: bool) -> int:
+        if not begins_program:
+            return 0
+        share = URGENT_RESERVE_SHARE if urgent else RESERVE_SHARE
+        return math.ceil(workspace.burst * share)
+
     def give_back(self, workspace: Workspace) -> None:
         """Returns the token of a request that did not run."""
         account = self._accounts.get(workspace.name)
@@ -110,7 +129,7 @@
             workspace,
             message.tokens,
             message.max_wait_ms / 1000,
-            message.begins_program,
+            message.reserve,
         )
 
     async def _on_take(self, message: TakeTokens, sender: Sender) -> TokensTaken:
--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -28,6 +28,9 @@
 # A write is sent again after this many times the average.
 WRITE_PATIENCE = 5.0
 LONGEST_WRITE_S = 0.7
+# A write without an answer counts as a failure if nothing else was answered for this
+# time either; the feed alone is answered twice a second.
+SILENT_S = 0.3
 
 
 class StoreClock:
@@ -107,7 +110,10 @@
             async with asyncio.timeout(patience_s):
                 page = await self._watch(self._table.commit(puts))
         except TimeoutError as error:
-            raise AnswerLost(f"no answer for {patience_s:.3f} s") from error
+            lost = AnswerLost(f"no answer for {patience_s:.3f} s")
+            if self.silence_s() > SILENT_S:
+                self._fail(lost)
+            raise lost from error
         taken_s = elapsed_s() - began_s
         measure(Timing.STORE, taken_s * 1000)
         self._write_s += WRITE_SMOOTHING * (taken_s - self._write_s)
@@ -133,12 +139,7 @@
         try:
             result = await call
         except (TableUnavailable, AnswerLost) as error:
-            self._failures += 1
-            if self._failures == FAILURES_TO_CLOSE:
-                self._lost_s = elapsed_s()
-                self.closed.set()
-                count(Counter.STORE_LOST)
-                log.warning("The store does not answer.", error=repr(error))
+            self._fail(error)
             raise
         except Exception:
             # Any other failure is an answer.
@@ -147,6 +148,14 @@
         self._regained()
         return result
 
+    def _fail(self, error: Exception) -> None:
+        self._failures += 1
+        if self._failures == FAILURES_TO_CLOSE:
+            self._lost_s = elapsed_s()
+            self.closed.set()
+            count(Counter.STORE_LOST)
+            log.warning("The store does not answer.", error=repr(error))
+
     def _regained(self) -> None:
         if not self.is_open():
             away_s = round(elapsed_s() - self._lost_s, 3)
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -82,12 +82,16 @@
 
 @dataclass(slots=True)
 class TakeTokens:
-    """Asks for tokens of a workspace's rate, to be used by the sender soon."""
+    """
+    Asks for tokens of a workspace's rate, to be used by the sender soon.
+
+    `reserve` tokens have to be left in the bucket for more urgent requests.
+    """
 
     workspace: str
     tokens: int
     max_wait_ms: int
-    begins_program: bool
+    reserve: int
 
 
 @dataclass(slots=True)
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -202,7 +202,7 @@
   workspace @0 :Text;
   tokens @1 :UInt32;        # what the sender expects to need soon, at least 1
   maxWaitMs @2 :UInt32;
-  beginsProgram @3 :Bool;   # programs under way go first
+  reserve @3 :UInt32;       # tokens that have to be left for more urgent requests
 }
 
 struct TokensTaken {
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -37,7 +37,7 @@
     loop = asyncio.get_running_loop()
     while loop.time() < 20:
         try:
-            await vm.take(RATE, 1, 0.0, False)
+            await vm.take(RATE, 1, 0.0, 0)
             times_s.append(loop.time())
         except (RateExceeded, StoreUnavailable):
             pass
@@ -63,7 +63,7 @@
     vm = _vm(table)
     loop = asyncio.get_running_loop()
     for _ in range(40):
-        await vm.take(RATE, 1, 0.4, False)
+        await vm.take(RATE, 1, 0.4, 0)
     assert loop.time() < 1.0
 
 
@@ -72,8 +72,8 @@
     vm = _vm(table)
     with pytest.raises(RateExceeded):
         for _ in range(40):
-            await vm.take(RATE, 1, 0.0, True)
-    await vm.take(RATE, 1, 0.0, False)
+            await vm.take(RATE, 1, 0.0, 8)
+    await vm.take(RATE, 1, 0.0, 0)
 
 
 async def test_refused_programs_waste_nothing(table: VersionedStandin) -> None:
@@ -85,9 +85,9 @@
         for _ in range(10):
             with suppress(RateExceeded):
                 # A VM that expects more than it uses loses the rest.
-                await vm.take(RATE, 4, 0.0, True)
+                await vm.take(RATE, 4, 0.0, 8)
         try:
-            await vm.take(RATE, 4, 0.0, False)
+            await vm.take(RATE, 4, 0.0, 0)
             under_way += 1
         except RateExceeded:
             pass
@@ -100,13 +100,13 @@
     before = _vms(rows, 1)[0]
     with pytest.raises(RateExceeded):
         while True:
-            await before.take(RATE, 1, 0.0, False)
+            await before.take(RATE, 1, 0.0, 0)
     gate = StoreGate(VersionedStandin(rows))
     await gate.page("servers//")
     after = Allotments(gate, make_settings(), never)
     await asyncio.sleep(1.0)
-    await after.take(RATE, 1, 0.2, False)
-    await after.take(RATE, 1, 0.2, False)
+    await after.take(RATE, 1, 0.2, 0)
+    await after.take(RATE, 1, 0.2, 0)
 
 
 async def test_the_rate_goes_on_through_an_outage(table: VersionedStandin) -> None:
