--- a/packages/gateway/src/damasksaddle_gateway/front.py
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -60,6 +60,8 @@
 # The parts of a request's time that it may wait for its rate and for its budget.
 RATE_PATIENCE_SHARE = 0.2
 BUDGET_PATIENCE_SHARE = 0.2
+# How often upstreams may say that they have no room until a request is refused.
+MAX_REJECTIONS = 6
 # What a turn may generate that does not tell its size.
 UNKNOWN_TURN_TOKENS = 1024
 # The part of what is left that a request may wait for room at an upstream.
@@ -84,6 +86,7 @@
     last_event_id: str
     attempts: int = 0
     tried: list[str] = field(default_factory=list)
+    rejections: int = 0
     may_have_run: bool = False
     tokens_used: int = 0
     reservation: TurnReservation | None = None
@@ -289,6 +292,10 @@
                 self._log_try(call, upstream, "not_reached", error)
             except NotTaken as error:
                 self._placement.full(upstream)
+                call.rejections += 1
+                if not error.misdirected:
+                    # It may have room again a moment later.
+                    call.tried.remove(upstream.id)
                 self._log_try(call, upstream, "not_taken", error)
             except BrokenOff as error:
                 self._placement.failed(upstream)
@@ -298,6 +305,7 @@
                 self._placement.end(upstream)
 
     async def _next_upstream(self, call: Call) -> Upstream:
+        until_s = elapsed_s() + call.time_left_s() * PLACEMENT_PATIENCE_SHARE
         while True:
             candidates = [
                 upstream
@@ -313,11 +321,10 @@
             upstream = self._placement.choose(free, call.service, call.facts)
             if upstream is not None:
                 break
+            if call.rejections >= MAX_REJECTIONS:
+                raise self._no_upstream(call)
             if not candidates or not await self._placement.wait_for_room(
-                call.service,
-                len(candidates),
-                vms,
-                call.time_left_s() * PLACEMENT_PATIENCE_SHARE,
+                candidates, call.service, vms, until_s
             ):
                 raise self._no_upstream(call)
         if call.workspace is not None:
@@ -331,7 +338,8 @@
         if call.may_have_run:
             return FateUnknown()
         return UpstreamUnavailable(
-            f"tried {len(call.tried)}", retry_after_s=NO_UPSTREAM_RETRY_S
+            f"tried {len(call.tried)}, {call.rejections} had no room",
+            retry_after_s=NO_UPSTREAM_RETRY_S,
         )
 
     def _check_repeat(self, call: Call) -> None:
--- a/packages/gateway/src/damasksaddle_gateway/placement.py
+++ b/packages/gateway/src/damasksaddle_gateway/placement.py
@@ -14,14 +14,15 @@
 import asyncio
 import math
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from damasksaddle.utils import elapsed_s, rendezvous
 from damasksaddle_gateway.catalogue import Service, Upstream
 from damasksaddle_gateway.interfaces import RequestFacts
 
-# An upstream that said it is full gets no request for this time: a few turns' length.
-FULL_PAUSE_S = 0.05
+# An upstream that said it is full gets no request for this time, in which about one of
+# its requests ends.
+FULL_PAUSE_S = 0.03
 # An upstream that failed is avoided for this time, doubling up to the longest.
 FAILED_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 8.0
@@ -30,7 +31,9 @@
 CONNECTION_SHARE = 0.7
 # Requests that may wait in this VM for each one that may be under way.
 WAITING_FACTOR = 3
-UNLIMITED = 1_000_000
+# Requests under way at an upstream for each of its slots, from all VMs together: enough
+# that none of its slots stands idle, and few enough that its queue takes them.
+UNDER_WAY_PER_SLOT = 3.0
 
 
 @dataclass(slots=True)
@@ -39,15 +42,17 @@
 
     outstanding: int = 0
     failures: int = 0
+    full_until_s: float = -math.inf
     avoid_until_s: float = -math.inf
-    sessions: dict[str, None] = field(default_factory=dict)
 
 
-def connection_limit(service: Service, vms: int) -> int:
+def under_way_limit(upstream: Upstream, service: Service, vms: int) -> int:
     """Returns how many requests a VM may have under way at one upstream."""
-    if not service.max_connections:
-        return UNLIMITED
-    return max(1, int(service.max_connections * CONNECTION_SHARE / max(1, vms)))
+    by_slots = math.ceil(upstream.slots * UNDER_WAY_PER_SLOT / vms)
+    if service.max_connections:
+        by_connections = int(service.max_connections * CONNECTION_SHARE / vms)
+        return max(1, min(by_slots, by_connections))
+    return max(1, by_slots)
 
 
 class Placement:
@@ -73,27 +78,31 @@
 
     def has_room(self, upstream: Upstream, service: Service, vms: int) -> bool:
         """Tells whether one more request of this VM may be under way there."""
-        outstanding = self.standing(upstream).outstanding
-        return outstanding < connection_limit(service, vms)
+        standing = self.standing(upstream)
+        if standing.full_until_s > elapsed_s():
+            return False
+        return standing.outstanding < under_way_limit(upstream, service, vms)
 
     async def wait_for_room(
-        self, service: Service, upstreams: int, vms: int, patience_s: float
+        self, upstreams: list[Upstream], service: Service, vms: int, until_s: float
     ) -> bool:
         """
-        Waits until a request of this VM has ended; returns whether one did.
+        Waits a moment, in which a request of this VM may end.
 
-        Returns at once if so many wait already that this one would wait in vain.
+        Returns False at once if the time is over, or if so many wait already that this
+        one would wait in vain.
         """
         waiting = self._waiting.get(service.name, 0)
-        room = connection_limit(service, vms) * max(1, upstreams)
-        if patience_s <= 0 or waiting >= room * WAITING_FACTOR:
+        room = sum(under_way_limit(u, service, vms) for u in upstreams)
+        left_s = until_s - elapsed_s()
+        if left_s <= 0 or waiting >= room * WAITING_FACTOR:
             return False
         self._waiting[service.name] = waiting + 1
         try:
-            async with asyncio.timeout(patience_s):
+            async with asyncio.timeout(min(left_s, FULL_PAUSE_S)):
                 await self._freed.wait()
         except TimeoutError:
-            return False
+            return True
         finally:
             self._waiting[service.name] -= 1
         return True
@@ -137,9 +146,7 @@
 
     def full(self, upstream: Upstream) -> None:
         """Books that an upstream had no room."""
-        standing = self.standing(upstream)
-        until_s = elapsed_s() + FULL_PAUSE_S
-        standing.avoid_until_s = max(standing.avoid_until_s, until_s)
+        self.standing(upstream).full_until_s = elapsed_s() + FULL_PAUSE_S
 
     def failed(self, upstream: Upstream) -> None:
         """Books that an upstream could not be reached or broke off."""
