--- a/packages/gateway/src/damasksaddle_gateway/reach.py
+++ b/packages/gateway/src/damasksaddle_gateway/reach.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 import random
 
 from mode import Service
@@ -45,14 +46,14 @@
         self._store = store
         self._roster = roster
         self._peers = peers
-        self._confirmed_s = 0.0
+        self._confirmed_s = -math.inf
         peers.handlers.add(StoreReach, self._on_reach)
 
     def is_away_for_all(self) -> bool:
         """Tells whether an outage was confirmed by other VMs a moment ago."""
         if self._store.is_open():
             return False
-        return 0 < elapsed_s() - self._confirmed_s < BELIEF_S
+        return elapsed_s() - self._confirmed_s < BELIEF_S
 
     async def confirm(self) -> bool:
         """Waits a moment for other VMs to notice the outage too."""
--- /dev/null
+++ b/tests/gateway/test_fleet.py
@@ -0,0 +1,184 @@
+"""What VMs know of each other, and when holders may act without the store."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from damasksaddle.exceptions import PeerUnreachable, StoreUnavailable
+from damasksaddle.platform import Put
+from damasksaddle.utils import rendezvous
+from damasksaddle_gateway.holders import Holders
+from damasksaddle_gateway.reach import Reach
+from damasksaddle_gateway.roster import Roster
+from damasksaddle_gateway.settings import Address
+from damasksaddle_gateway.store import StoreGate
+from damasksaddle_node.peers import Handlers
+from damasksaddle_protocol import Ok, StoreReach, StoreReached
+from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
+from tests.gateway.conftest import make_settings
+
+pytestmark = pytest.mark.looptime
+
+
+def _beat(rows: VersionedRows, vm: str, beats: int, **changes: object) -> None:
+    value = {
+        "callers": f"{vm}:80",
+        "peers": f"{vm}:81",
+        "failure_domain": "a",
+        "leaving": False,
+        "beats": beats,
+        **changes,
+    }
+    rows.apply([Put(f"vms//{vm}", json.dumps(value))])
+
+
+def _roster(table: VersionedStandin) -> Roster:
+    return Roster(StoreGate(table), make_settings("vm-a", callers=Address("vm-a", 80)))
+
+
+async def test_dead_and_leaving_vms_are_not_listed(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against callers that are sent to a VM that is gone."""
+    async with _roster(table) as roster:
+        for beats in range(8):
+            _beat(rows, "vm-b", beats)
+            _beat(rows, "vm-c", 0)
+            if beats == 0:
+                _beat(rows, "vm-d", beats)
+            _beat(rows, "vm-e", beats, leaving=True)
+            await asyncio.sleep(0.5)
+        assert set(roster.addresses("a")) == {"vm-a:80", "vm-b:80", "vm-c:80"}
+        assert set(roster.alive()) == {"vm-a", "vm-b", "vm-c"}
+        await roster.leave()
+        assert "vm-a:80" not in roster.addresses("a")
+
+
+async def test_an_outage_makes_no_vm_dead(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against a fleet that lists nobody because nobody can beat."""
+    async with _roster(table) as roster:
+        _beat(rows, "vm-b", 0)
+        await asyncio.sleep(1.5)
+        table.down = True
+        await asyncio.sleep(10)
+        assert set(roster.alive()) == {"vm-a", "vm-b"}
+        table.down = False
+        await asyncio.sleep(1.5)
+        assert set(roster.alive()) == {"vm-a", "vm-b"}
+        await asyncio.sleep(4)
+        assert set(roster.alive()) == {"vm-a"}
+
+
+async def test_callers_get_their_own_failure_domain_first(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against answers that cross failure domains without need."""
+    for vm in ("vm-b", "vm-c"):
+        _beat(rows, vm, 0, failure_domain="b")
+    async with _roster(table) as roster:
+        await asyncio.sleep(1.2)
+        assert set(roster.addresses("b")) == {"vm-b:80", "vm-c:80"}
+        # One VM of its own is too few to be alone.
+        assert roster.addresses("a")[0] == "vm-a:80"
+        assert len(roster.addresses("a")) == 3
+
+
+class FakePeers:
+    """Answers for other VMs; None stands for one that does not answer."""
+
+    def __init__(self, answers: dict[str, Any]) -> None:
+        self.handlers = Handlers()
+        self.answers = answers
+        self.asked: list[str] = []
+
+    async def request(self, vm: str, message: object, timeout_s: float) -> Any:
+        self.asked.append(vm)
+        answer = self.answers.get(vm)
+        if answer is None:
+            raise PeerUnreachable(vm)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def _fleet(*vms: str, known: bool = True) -> Any:
+    return SimpleNamespace(alive=lambda: list(vms), is_known=lambda: known)
+
+
+async def _confirmed(
+    table: VersionedStandin, fleet: Any, answers: dict[str, Any]
+) -> bool:
+    gate = StoreGate(table)
+    table.down = True
+    for _ in range(3):
+        with pytest.raises(Exception, match="down"):
+            await gate.page("servers//")
+    peers = FakePeers(answers)
+    async with Reach("vm-a", gate, fleet, peers) as reach:  # type: ignore[arg-type]
+        return await reach.confirm()
+
+
+AWAY, THERE = StoreReached(False), StoreReached(True)
+
+
+@pytest.mark.parametrize(
+    ("answers", "confirmed"),
+    [
+        ({"vm-b": AWAY, "vm-c": AWAY, "vm-d": AWAY}, True),
+        ({"vm-b": AWAY, "vm-c": AWAY}, True),
+        ({"vm-b": AWAY, "vm-c": THERE, "vm-d": AWAY}, False),
+        ({"vm-b": AWAY}, False),
+        ({}, False),
+    ],
+)
+async def test_an_outage_counts_only_if_others_see_it(
+    table: VersionedStandin, answers: dict[str, Any], confirmed: bool
+) -> None:
+    """Guards against a VM that is cut off and hands out what others hand out too."""
+    fleet = _fleet("vm-a", "vm-b", "vm-c", "vm-d")
+    assert await _confirmed(table, fleet, answers) is confirmed
+
+
+async def test_a_process_that_just_started_confirms_nothing(
+    table: VersionedStandin,
+) -> None:
+    """Guards against a new process that takes itself for the whole fleet."""
+    assert not await _confirmed(table, _fleet("vm-a", known=False), {})
+
+
+async def test_a_vm_tells_whether_the_store_answers_it(
+    table: VersionedStandin,
+) -> None:
+    """Guards against a VM that reports an outage which it does not have."""
+    gate = StoreGate(table)
+    peers = FakePeers({})
+    Reach("vm-a", gate, _fleet("vm-a"), peers)  # type: ignore[arg-type]
+    answer = await peers.handlers.single[StoreReach](StoreReach(), None)
+    assert answer == THERE
+
+
+async def test_the_next_vm_is_asked_when_a_holder_cannot_answer(
+    table: VersionedStandin,
+) -> None:
+    """Guards against refusing a request because one VM is dead or cut off."""
+    order = rendezvous("ngo", ["vm-a", "vm-b", "vm-c", "vm-d"])
+    others = [vm for vm in order if vm != "vm-a"]
+    peers = FakePeers({others[0]: None, others[1]: StoreUnavailable(), others[2]: Ok()})
+    holders = Holders(
+        "vm-a",
+        StoreGate(table),
+        _fleet(*order),
+        peers,  # type: ignore[arg-type]
+    )
+
+    async def local() -> Ok:
+        return Ok()
+
+    answered_by, _ = await holders.ask("ngo", Ok(), local, 0.0)
+    assert answered_by in (order[2], "vm-a")
+    assert holders.is_holder("ngo") == (order[0] == "vm-a")
--- /dev/null
+++ b/tests/platform/test_gateway_processes.py
@@ -0,0 +1,248 @@
+"""Gateways as processes, before a store and an upstream that this test plays."""
+
+import asyncio
+import json
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from damasksaddle.platform import Put
+from damasksaddle_standins.rows_server import RowsServer
+from damasksaddle_standins.versioned import VersionedRows
+
+pytestmark = pytest.mark.processes
+
+KEY = "k3fexd9dnn2"
+TOKENS_PER_EVENT = 9
+EVENTS = 8
+BUDGET = 3 * TOKENS_PER_EVENT * EVENTS
+START_TIMEOUT_S = 20.0
+
+
+def _config(version: int, keys: list[str]) -> str:
+    route = {
+        "Host": "desk.example",
+        "Prefix": "/turn/",
+        "Type": "streaming",
+        "TimeoutMs": 8000,
+        "Service": "llm",
+        "Resumable": True,
+    }
+    service = {
+        "Name": "llm",
+        "MaxConns": 100,
+        "Engine": {"Slots": 8, "ChunkTokens": TOKENS_PER_EVENT},
+    }
+    tenant = {"Name": "ngo", "ApiKeys": keys, "RatePerS": 20, "Burst": 20}
+    return json.dumps(
+        {
+            "Version": version,
+            "Routes": [route],
+            "Services": [service],
+            "Tenants": [tenant],
+        }
+    )
+
+
+@dataclass
+class Fleet:
+    """Processes with the store and the upstream that they use."""
+
+    directory: Path
+    rows: VersionedRows
+    store: RowsServer
+    store_address: str
+    pause_s: float = 0.0
+    runs: list[str] = field(default_factory=list)
+    processes: list[asyncio.subprocess.Process] = field(default_factory=list)
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Plays an engine that generates `EVENTS` events."""
+        self.runs.append(request.headers["X-Request-Id"])
+        response = web.StreamResponse(headers={"X-Server-Signature": "s1"})
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in range(EVENTS):
+            await asyncio.sleep(self.pause_s)
+            await response.write(f"id: {number}\ndata: x\n\n".encode())
+        await response.write_eof()
+        return response
+
+    async def start(self, name: str, ports: list[int]) -> asyncio.subprocess.Process:
+        """Starts a gateway and waits until it is ready."""
+        host = "127.0.0.1"
+        settings = {
+            "NodeName": name,
+            "Ip": host,
+            "Zone": "a",
+            "Listen": {
+                "Frontend": f"{host}:{ports[0]}",
+                "Ready": f"{host}:{ports[1]}",
+                "Directory": f"{host}:{ports[2]}",
+            },
+            "InternalPorts": [ports[3], ports[4]],
+            "Bounds": {"GraceS": 4, "RevokeMs": 3000},
+            "Platform": {"Address": self.store_address},
+        }
+        path = self.directory / f"{name}.yaml"
+        path.write_text(json.dumps(settings))
+        with (self.directory / f"{name}.log").open("ab") as log_file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "damasksaddle_platform",
+                "--settings",
+                str(path),
+                stdout=log_file,
+                stderr=log_file,
+            )
+        self.processes.append(process)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while await status_of(f"http://{host}:{ports[1]}/readyz") != 200:
+                await asyncio.sleep(0.05)
+        return process
+
+
+async def status_of(url: str) -> int:
+    """Returns the status of a GET, 0 if there is no answer."""
+    try:
+        async with aiohttp.ClientSession() as session, session.get(url) as answer:
+            return answer.status
+    except aiohttp.ClientError:
+        return 0
+
+
+async def turn(port: int, request_id: str, program: str = "p1") -> tuple[int, bytes]:
+    """Sends one turn to a gateway."""
+    headers = {
+        "Host": "desk.example",
+        "Authorization": f"Token {KEY}",
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": "6000",
+        "X-Program-Id": program,
+        "X-Session-Id": "s1",
+        "X-Token-Count": f"10,{TOKENS_PER_EVENT * EVENTS}",
+        "X-Token-Budget": str(BUDGET),
+    }
+    url = f"http://127.0.0.1:{port}/turn/x"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, headers=headers, data=b"{}") as answer,
+    ):
+        return answer.status, await answer.read()
+
+
+async def _listen(handler: Any) -> tuple[web.BaseRunner, str]:
+    runner: web.BaseRunner
+    if isinstance(handler, web.Application):
+        runner = web.AppRunner(handler, access_log=None)
+    else:
+        runner = web.ServerRunner(web.Server(handler, access_log=None))
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    return runner, f"{host}:{port}"
+
+
+@asynccontextmanager
+async def fleet(directory: Path) -> AsyncIterator[Fleet]:
+    rows = VersionedRows()
+    store = RowsServer(rows)
+    store_runner, store_address = await _listen(store.app())
+    running = Fleet(directory, rows, store, store_address)
+    engine_runner, engine_address = await _listen(running.answer)
+    rows.apply([Put("op//config", _config(1, [KEY]))])
+    server = {
+        "Service": "llm",
+        "Address": engine_address,
+        "Zone": "a",
+        "Slots": 8,
+        "State": "ready",
+        "SeqNum": 1,
+    }
+    rows.apply([Put("servers//i-1", json.dumps(server))])
+    try:
+        yield running
+    finally:
+        for process in running.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        await engine_runner.cleanup()
+        await store_runner.cleanup()
+
+
+def free_ports(unused_tcp_port_factory: Any) -> list[int]:
+    """Returns ports for callers, readiness, directory, metrics and peers."""
+    while True:
+        ports = [unused_tcp_port_factory() for _ in range(4)]
+        # The peers' port follows the one for metrics.
+        return [*ports, ports[3] + 1]
+
+
+async def test_budgets_outlive_killed_processes(
+    tmp_path: Path, unused_tcp_port_factory: Any
+) -> None:
+    """Guards against a program that gets its budget anew after all VMs died."""
+    async with fleet(tmp_path) as running:
+        ports = [free_ports(unused_tcp_port_factory) for _ in range(2)]
+        started = [await running.start(f"vm-{n}", ports[n]) for n in range(2)]
+        for n in range(2):
+            status, body = await turn(ports[n][0], f"r{n}")
+            assert (status, body.count(b"data:")) == (200, EVENTS)
+        for process in started:
+            process.kill()
+            await process.wait()
+        await running.start("vm-0", ports[0])
+        statuses = [(await turn(ports[0][0], f"s{n}"))[0] for n in range(2)]
+        assert statuses[-1] == 402
+        assert len(running.runs) <= 3
+
+
+async def test_a_planned_stop_cuts_no_stream(
+    tmp_path: Path, unused_tcp_port_factory: Any
+) -> None:
+    """Guards against a stop that breaks answers off, or goes on past its time."""
+    async with fleet(tmp_path) as running:
+        ports = free_ports(unused_tcp_port_factory)
+        process = await running.start("vm-0", ports)
+        running.pause_s = 0.15
+        streaming = asyncio.create_task(turn(ports[0], "r1"))
+        while not running.runs:
+            await asyncio.sleep(0.01)
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        assert await status_of(f"http://127.0.0.1:{ports[1]}/readyz") == 503
+        # Callers that still have the address are served.
+        assert (await turn(ports[0], "r2", "p2"))[0] == 200
+        status, body = await streaming
+        assert (status, body.count(b"data:")) == (200, EVENTS)
+        async with asyncio.timeout(4.0):
+            assert await process.wait() == 0
+
+
+async def test_a_withdrawn_key_and_a_store_that_turns_a_vm_away(
+    tmp_path: Path, unused_tcp_port_factory: Any
+) -> None:
+    """Guards against a key that works on where the store is out of reach."""
+    async with fleet(tmp_path) as running:
+        ports = free_ports(unused_tcp_port_factory)
+        await running.start("vm-0", ports)
+        assert (await turn(ports[0], "r1"))[0] == 200
+        running.store.refused.add("127.0.0.1")
+        running.rows.apply([Put("op//config", _config(2, []))])
+        await asyncio.sleep(3.0)
+        assert (await turn(ports[0], "r2", "p2"))[0] == 503
+        assert await status_of(f"http://127.0.0.1:{ports[1]}/readyz") == 503
+        running.store.refused.clear()
+        await asyncio.sleep(1.5)
+        assert (await turn(ports[0], "r3", "p3"))[0] == 401
+        assert running.runs == ["r1"]
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,132 @@
+"""What the operator and the upstreams write is decoded, or left aside."""
+
+import json
+
+import pytest
+
+from damasksaddle.platform import Row
+from damasksaddle_gateway.catalogue import AtMostOnce, Repeatable, Streaming
+from damasksaddle_platform.records import Records
+
+SERVER = {
+    "Service": "llm",
+    "Address": "10.1.0.9:8080",
+    "Zone": "riga-a",
+    "Version": "v1",
+    "Slots": 16,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "SeqNum": 4,
+    "born": 1700000000000,
+}
+CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1",
+            "Host": "desk.example",
+            "Prefix": "/turn/",
+            "Type": "streaming",
+            "TimeoutMs": 4000,
+            "Split": [
+                {"Service": "llm", "Weight": 90},
+                {"Service": "other", "Weight": 10},
+            ],
+            "MaxAttempts": 1,
+            "Resumable": True,
+            "TargetGapMs": 200,
+        },
+        {
+            "Host": "desk.example",
+            "Prefix": "/turn/deep/",
+            "Type": "idempotent",
+            "TimeoutMs": 900,
+            "Service": "llm",
+        },
+        {
+            "Host": "desk.example",
+            "Prefix": "/pay/",
+            "Type": "non_idempotent",
+            "TimeoutMs": 900,
+            "Service": "llm",
+            "Public": True,
+        },
+    ],
+    "Services": [
+        {"Name": "llm", "MaxConns": 160, "Engine": {"Slots": 16, "ChunkTokens": 9}}
+    ],
+    "Tenants": [{"Name": "ngo", "ApiKeys": ["k1", "k2"], "RatePerS": 136, "Burst": 20}],
+}
+
+
+def _server(**changes: object) -> Row:
+    return Row("servers//i-1", json.dumps({**SERVER, **changes}), 3)
+
+
+def test_a_configuration() -> None:
+    """Guards against a route, key or limit that is read as something else."""
+    catalogue = Records().catalogue(Row("op//config", json.dumps(CONFIG), 3))
+    assert catalogue is not None
+    assert catalogue.version == 7
+    turn = catalogue.route("DESK.example:80", "/turn/x")
+    assert turn is not None
+    assert turn.kind == Streaming(True, 200)
+    chosen = [turn.service_for(f"r{n}") for n in range(1000)]
+    assert 850 < chosen.count("llm") < 950
+    assert turn.service_for("r1") == turn.service_for("r1")
+    deep = catalogue.route("desk.example", "/turn/deep/x")
+    assert deep is not None
+    assert deep.kind == Repeatable()
+    pay = catalogue.route("desk.example", "/pay/x")
+    assert pay is not None
+    assert (pay.kind, pay.open_to_all) == (AtMostOnce(), True)
+    assert catalogue.route("desk.example", "/turn") is None
+    assert catalogue.route("other.example", "/turn/x") is None
+    ngo = catalogue.workspace("k2")
+    assert ngo is not None
+    assert (ngo.name, ngo.rate_per_s, ngo.burst) == ("ngo", 136, 20)
+    assert catalogue.workspace("k3") is None
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"Version": 1}', "\x00"])
+def test_rows_that_hold_no_configuration(text: str) -> None:
+    """Guards against a process that ends, or serves nothing, for one bad row."""
+    assert Records().catalogue(Row("op//config", text, 3)) is None
+    assert Records().catalogue(Row("op//other", json.dumps(CONFIG), 3)) is None
+
+
+def test_an_upstream() -> None:
+    """Guards against two starts under one id that look like one."""
+    first = Records().upstream(_server())
+    again = Records().upstream(_server(born=1700000009999))
+    assert first is not None
+    assert again is not None
+    assert (first.id, first.slots, first.draining) == ("i-1", 16, False)
+    assert first.incarnation != again.incarnation
+    leaving = Records().upstream(_server(State="draining"))
+    assert leaving is not None
+    assert leaving.draining
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Service": 4},
+        {"Address": "somewhere"},
+        {"Address": None},
+        {"Slots": "16"},
+        {"Slots": -1},
+        {"State": "asleep"},
+        {"SeqNum": None},
+        {"Zone": ["a"]},
+    ],
+)
+def test_entries_of_other_writers_name_no_upstream(changes: dict[str, object]) -> None:
+    """Guards against requests that are sent to what is no upstream."""
+    assert Records().upstream(_server(**changes)) is None
+
+
+@pytest.mark.parametrize("text", ["", "null", "[1]", "{", '"x"'])
+def test_unreadable_entries_name_no_upstream(text: str) -> None:
+    """Guards against a bad entry that hides the good ones."""
+    assert Records().upstream(Row("servers//i-1", text, 3)) is None
