--- a/packages/node/src/damasksaddle_node/programs/engines.py
+++ b/packages/node/src/damasksaddle_node/programs/engines.py
@@ -100,6 +100,10 @@
         except UpstreamError as error:
             log.debug("A release failed.", upstream=name, reason=error)
             return
+        if partition.orphaned and self.is_recent(partition):
+            # A call of the former holder may still run there and keep memory when it
+            # ends, so the release is repeated for a while.
+            return
         partition.add(
             EngineReleased(
                 new_id("record"), program.workspace, program.program_id, name
--- a/tests/node/programs/test_engine_memory.py
+++ b/tests/node/programs/test_engine_memory.py
@@ -83,3 +83,24 @@
         await asyncio.sleep(700)
         assert held(s) == []
         assert (await s.read("p2"))["ended"] == "idle"
+
+
+async def test_a_call_of_the_former_holder_that_ends_late_keeps_nothing(session):
+    """
+    Guards against memory that is kept after the release of its program.
+
+    Found by the soak with seeds 7005 and 7037: the engine finished a call of the
+    former holder after the new one had released the program, and nobody repeated it.
+    """
+    async with session(6) as s:
+        await s.ask("chat", "hello", "p1", tokens=40)
+        await s.fleet.kill(s.owner("p1"))
+        await s.ask("chat", "again", "p1", tokens=40)
+        await s.read("p1", action="end")
+        await asyncio.sleep(5)
+        assert held(s) == []
+        for engine in s.fleet.upstreams.engines.values():
+            engine.cache.insert("ngo/p1", [1, 2, 3], keep=True)
+        assert held(s)
+        await asyncio.sleep(5)
+        assert held(s) == []
