--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/calls.py
@@ -0,0 +1,45 @@
+"""A caller's request on its way through the gateway."""
+
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from damasksaddle.utils import elapsed_s
+from damasksaddle_gateway.catalogue import Route, Service, Workspace
+from damasksaddle_gateway.events import EventSplitter
+from damasksaddle_gateway.interfaces import RequestFacts
+from damasksaddle_gateway.turns import TurnReservation
+
+
+@dataclass(slots=True)
+class Call:
+    """
+    A request, what is known of it, and what became of it so far.
+
+    `ends_s` is when its time is over. `may_have_run` is set as long as an upstream got
+    the request and did not say that it left it alone. `response` is set once the
+    answer has begun.
+    """
+
+    facts: RequestFacts
+    route: Route
+    service: Service
+    workspace: Workspace | None
+    method: str
+    raw_path: str
+    body: bytes
+    began_s: float
+    ends_s: float
+    last_event_id: str
+    leaving: bool = False
+    attempts: int = 0
+    tried: list[str] = field(default_factory=list)
+    rejections: int = 0
+    may_have_run: bool = False
+    tokens_used: int = 0
+    reservation: TurnReservation | None = None
+    events: EventSplitter = field(default_factory=EventSplitter)
+    response: web.StreamResponse | None = None
+
+    def time_left_s(self) -> float:
+        return self.ends_s - elapsed_s()
--- a/packages/gateway/src/damasksaddle_gateway/front.py
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
 
 from aiohttp import hdrs, web
 
@@ -23,23 +22,21 @@
     UpstreamUnavailable,
 )
 from damasksaddle.utils import Counter, Timing, count, elapsed_s, get_log, measure
+from damasksaddle_gateway.calls import Call
 from damasksaddle_gateway.catalogue import (
     AtMostOnce,
     Catalogue,
     Repeatable,
-    Route,
-    Service,
     Streaming,
     Upstream,
-    Workspace,
     is_repeatable,
 )
-from damasksaddle_gateway.events import EventSplitter
 from damasksaddle_gateway.interfaces import RequestFacts, Wire
 from damasksaddle_gateway.placement import Placement
 from damasksaddle_gateway.rates import Rates
+from damasksaddle_gateway.relay import Relay
 from damasksaddle_gateway.roster import Roster
-from damasksaddle_gateway.turns import TurnBudgets, TurnReservation
+from damasksaddle_gateway.turns import TurnBudgets
 from damasksaddle_gateway.upstreams import (
     Answer,
     BrokenOff,
@@ -70,33 +67,6 @@
 ANSWER_MARGIN_S = 0.02
 
 
-@dataclass(slots=True)
-class Call:
-    """A request on its way; `ends_s` is when its time is over."""
-
-    facts: RequestFacts
-    route: Route
-    service: Service
-    workspace: Workspace | None
-    method: str
-    raw_path: str
-    body: bytes
-    began_s: float
-    ends_s: float
-    last_event_id: str
-    attempts: int = 0
-    tried: list[str] = field(default_factory=list)
-    rejections: int = 0
-    may_have_run: bool = False
-    tokens_used: int = 0
-    reservation: TurnReservation | None = None
-    events: EventSplitter = field(default_factory=EventSplitter)
-    response: web.StreamResponse | None = None
-
-    def time_left_s(self) -> float:
-        return self.ends_s - elapsed_s()
-
-
 class Front:
     """Handles the requests of callers."""
 
@@ -118,6 +88,8 @@
         self._roster = roster
         self._upstreams = upstreams
         self._wire = wire
+        self._relay = Relay(wire)
+        self._listed: dict[str, Upstream] = {}
         self._key_fresh_s = key_revocation_ms / 1000 * KEY_FRESH_SHARE
         self.leaving = False
         self.running = 0
@@ -139,6 +111,8 @@
             call = await self._admit(request, facts, began_s)
             count(Counter.REQUESTS)
             response = await self._serve(request, call)
+            if self.leaving:
+                response.force_close()
             measure(Timing.ANSWER, (elapsed_s() - began_s) * 1000)
             return response
         except Refusal as error:
@@ -174,9 +148,6 @@
         response = web.Response(status=error.status, text=error.code)
         if error.retry_after_s is not None:
             response.headers[hdrs.RETRY_AFTER] = f"{error.retry_after_s:.3f}"
-        return self._finished(response)
-
-    def _finished(self, response: web.Response) -> web.Response:
         if self.leaving:
             response.force_close()
         return response
@@ -213,6 +184,7 @@
             began_s=began_s,
             ends_s=began_s + time_ms / 1000 - ANSWER_MARGIN_S,
             last_event_id=facts.last_event_id,
+            leaving=self.leaving,
         )
         if workspace is not None:
             await self._rates.acquire(
@@ -237,11 +209,13 @@
                 return await self._try_upstreams(request, call)
         except TimeoutError as error:
             if call.response is not None:
-                return self._break_off(request, call, "timeout")
+                return self._relay.break_off(request, call, "timeout")
             raise self._out_of_time(call) from error
-        except Refusal:
+        except Refusal as error:
             if call.response is not None:
-                return self._break_off(request, call, "failed")
+                return self._relay.break_off(request, call, "failed")
+            if call.may_have_run and error.not_run is NotRun.YES:
+                raise FateUnknown(f"after a try: {error.detail}") from error
             raise
         finally:
             self._settle(call)
@@ -307,6 +281,9 @@
     async def _next_upstream(self, call: Call) -> Upstream:
         until_s = elapsed_s() + call.time_left_s() * PLACEMENT_PATIENCE_SHARE
         while True:
+            if self._listed is not self._view.upstreams:
+                self._listed = self._view.upstreams
+                self._placement.keep_only(list(self._listed.values()))
             candidates = [
                 upstream
                 for upstream in self._view.of_service(call.service.name)
@@ -373,11 +350,13 @@
         call.attempts += 1
         try:
             async with sent as answer:
+                if answer.status < web.HTTPMultipleChoices.status_code:
+                    self._check_signature(answer)
                 match call.route.kind:
                     case Streaming() if answer.status == web.HTTPOk.status_code:
-                        response = await self._relay_events(request, call, answer)
+                        response = await self._relay.events(request, call, answer)
                     case Streaming() | Repeatable() | AtMostOnce():
-                        response = await self._relay_whole(call, answer)
+                        response = await self._relay.whole(call, answer)
         except (NotReached, NotTaken):
             call.may_have_run = before
             call.attempts -= 1
@@ -386,65 +365,11 @@
         self._log_try(call, upstream, str(response.status), None)
         return response
 
-    async def _relay_whole(self, call: Call, answer: Answer) -> web.StreamResponse:
-        body = await answer.body()
-        if call.response is not None:
-            raise FateUnknown("the upstream refused to go on with the stream")
-        headers = self._wire.answer_headers(answer.headers)
-        return self._finished(
-            web.Response(status=answer.status, headers=headers, body=body)
-        )
-
-    async def _relay_events(
-        self, request: web.BaseRequest, call: Call, answer: Answer
-    ) -> web.StreamResponse:
-        call.events.reset()
-        engine = call.service.engine
-        tokens_per_event = engine.tokens_per_event if engine else 0
-        async for chunk in answer.chunks():
-            for event in call.events.feed(chunk):
-                call.tokens_used += tokens_per_event
-                if call.reservation and call.tokens_used > call.reservation.tokens:
-                    call.tokens_used -= tokens_per_event
-                    raise FateUnknown("the turn is larger than its reservation")
-                response = await self._start_stream(request, call, answer)
-                await response.write(event)
-            if call.events.last_id:
-                call.last_event_id = call.events.last_id
-        if call.events.partial:
-            raise BrokenOff("the stream ended inside an event")
-        response = await self._start_stream(request, call, answer)
-        await response.write_eof()
-        return response
-
-    async def _start_stream(
-        self, request: web.BaseRequest, call: Call, answer: Answer
-    ) -> web.StreamResponse:
-        if call.response is None:
-            headers = self._wire.answer_headers(answer.headers)
-            response = web.StreamResponse(status=answer.status, headers=headers)
-            response.enable_chunked_encoding()
-            if self.leaving:
-                response.force_close()
-            call.response = response
-            await response.prepare(request)
-        return call.response
-
-    def _break_off(
-        self, request: web.BaseRequest, call: Call, reason: str
-    ) -> web.StreamResponse:
-        """Ends a begun answer so that it does not look complete."""
-        count(Counter.ANSWERS_BROKEN, reason)
-        log.info(
-            "Broke off an answer.",
-            request=call.facts.request_id,
-            reason=reason,
-            events=call.events.count,
-        )
-        assert call.response is not None
-        if request.transport is not None:
-            request.transport.close()
-        return call.response
+    @staticmethod
+    def _check_signature(answer: Answer) -> None:
+        """Raises if a success does not come from an upstream's own work."""
+        if not answer.facts.signed:
+            raise BrokenOff("a success without a signature")
 
     @staticmethod
     def _engine_priority(call: Call) -> int | None:
--- a/packages/gateway/src/damasksaddle_gateway/settings.py
+++ b/packages/gateway/src/damasksaddle_gateway/settings.py
@@ -19,11 +19,10 @@
     """
     Addresses and bounds of one gateway process.
 
-    `key_revocation_ms` bounds how long a withdrawn key may go on working,
-    `drain_ms` how long a draining upstream may get new requests, `config_apply_ms`
-    how long an older configuration may go on being applied after a change,
-    `grace_s` how long the process has after a signal to stop, and `address_ttl_s`
-    how long callers keep the addresses they were given.
+    `key_revocation_ms` bounds how long a withdrawn key may go on working, `drain_ms`
+    how long a draining upstream may get new requests, `grace_s` how long the process
+    has after a signal to stop, and `address_ttl_s` how long callers keep the addresses
+    they were given.
     """
 
     vm: str
@@ -36,7 +35,6 @@
     grace_s: float
     key_revocation_ms: float
     drain_ms: float
-    config_apply_ms: float
     address_ttl_s: float
     rate_window_s: float
     rate_overrun: float
--- a/packages/gateway/src/damasksaddle_gateway/view.py
+++ b/packages/gateway/src/damasksaddle_gateway/view.py
@@ -51,7 +51,6 @@
         self._poll_s = drain_ms / 1000 * UPSTREAM_POLL_SHARE
         self.catalogue: Catalogue | None = None
         self.upstreams: dict[str, Upstream] = {}
-        self.changed = asyncio.Event()
         self._config_version = 0
         self._config_proved_s = -math.inf
         # When a version was the newest one, for versions that the feed has not reached.
@@ -129,7 +128,6 @@
                 age_s=round(self.config_age_s(), 3),
             )
             self.catalogue = catalogue
-            self._notify()
 
     @Service.task
     async def _follow_upstreams(self) -> None:
@@ -169,7 +167,6 @@
             return
         self._log_difference(listed)
         self.upstreams = listed
-        self._notify()
 
     def _log_difference(self, listed: dict[str, Upstream]) -> None:
         for upstream in listed.values():
@@ -183,7 +180,3 @@
                 )
         for gone in self.upstreams.keys() - listed.keys():
             log.info("An upstream is gone.", upstream=gone)
-
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -30,7 +30,6 @@
         "grace_s": 8.0,
         "key_revocation_ms": 5000.0,
         "drain_ms": 2000.0,
-        "config_apply_ms": 2000.0,
         "address_ttl_s": 1.5,
         "rate_window_s": 5.0,
         "rate_overrun": 0.1,
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -381,3 +381,28 @@
         )
         assert [answer[0] for answer in answers] == [200] * 20  # type: ignore[index]
         assert most <= 7
+
+
+async def test_a_success_without_a_signature_is_not_passed_on() -> None:
+    """Guards against bytes that no upstream's work produced."""
+
+    async def unsigned(request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(body=b"noise")
+
+    async with gateway(unsigned) as running:
+        status, body, _ = await running.send("/once/x")
+        assert status == 502
+        assert b"noise" not in body
+
+
+async def test_a_refusal_after_a_broken_try_does_not_claim_that_nothing_ran() -> None:
+    """Guards against "not run" for a request that an upstream may have run."""
+
+    async def withdraw(request: web.BaseRequest) -> web.StreamResponse:
+        # The configuration goes stale while the first try is under way.
+        running.view.config_age_s = lambda: 9.0  # type: ignore[method-assign]
+        return await reset(request)
+
+    async with gateway(withdraw, withdraw) as running:
+        assert (await running.send("/safe/x", "GET"))[0] == 502
+        assert len(running.seen) == 1
