--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,51 @@
+"""The platform's settings file is decoded with the bounds that it gives."""
+
+from pathlib import Path
+
+import pytest
+
+from damasksaddle.exceptions import SettingsInvalid
+from damasksaddle_platform.settings import read_settings
+
+TEXT = """
+NodeName: "edge-riga-a-1"
+Ip: "10.1.0.11"
+Zone: "riga-a"
+Listen:
+  Frontend: "10.1.0.11:8368"
+  Ready: "10.1.0.11:8369"
+  Directory: "10.1.0.11:8360"
+InternalPorts:
+  - 7780
+  - 7795
+Bounds:
+  GraceS: 8
+  RevokeMs: 4000
+  ttl_max_s: 1
+  Unknown: 3
+Platform:
+  Address: "10.200.1.7:8362"
+"""
+
+
+def test_a_file(tmp_path: Path) -> None:
+    """Guards against a bound that is ignored, or a port that others use."""
+    path = tmp_path / "local.yaml"
+    path.write_text(TEXT)
+    settings, store = read_settings(path)
+    assert store == "10.200.1.7:8362"
+    assert str(settings.callers) == "10.1.0.11:8368"
+    assert settings.key_revocation_ms == 4000
+    assert settings.address_ttl_s == 1
+    assert (settings.metrics.port, settings.peers.port) == (7780, 7781)
+
+
+@pytest.mark.parametrize("text", ["", "[", "NodeName: a", TEXT.replace("7795", "x")])
+def test_a_wrong_file(tmp_path: Path, text: str) -> None:
+    """Guards against a process that starts on settings it cannot read."""
+    path = tmp_path / "local.yaml"
+    path.write_text(text)
+    with pytest.raises(SettingsInvalid):
+        read_settings(path)
+    with pytest.raises(SettingsInvalid):
+        read_settings(tmp_path / "missing.yaml")
