--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -123,6 +123,12 @@
     title = "The request body is too large."
 
 
+class HeadersTooLarge(Refusal):
+    code = "headers_too_large"
+    status = 431
+    title = "The request's headers are too large."
+
+
 class BudgetExceeded(Refusal):
     code = "budget_exceeded"
     status = 402
--- a/packages/gateway/src/damasksaddle_gateway/front.py
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -14,6 +14,7 @@
     BodyTooLarge,
     DeadlineExceeded,
     FateUnknown,
+    HeadersTooLarge,
     KeyRejected,
     NotFresh,
     NotRun,
@@ -26,6 +27,7 @@
 from damasksaddle_gateway.catalogue import (
     AtMostOnce,
     Catalogue,
+    Limits,
     Repeatable,
     Streaming,
     Upstream,
@@ -63,10 +65,34 @@
 UNKNOWN_TURN_TOKENS = 1024
 # The part of what is left that a request may wait for room at an upstream.
 PLACEMENT_PATIENCE_SHARE = 0.5
+# A colon, a space and the end of the line.
+HEADER_FRAMING_BYTES = 4
 # The answer to a request that has run out of time should leave a little earlier.
 ANSWER_MARGIN_S = 0.02
 
 
+async def read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
+    """Returns the whole body; raises `BodyTooLarge` as soon as it is."""
+    chunks = []
+    size_bytes = 0
+    async for chunk in request.content.iter_any():
+        size_bytes += len(chunk)
+        if size_bytes > limit_bytes:
+            raise BodyTooLarge
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def check_header_size(request: web.BaseRequest, limit_bytes: int) -> None:
+    """Raises `HeadersTooLarge` if the headers are larger than the limit."""
+    size_bytes = sum(
+        len(name) + len(value) + HEADER_FRAMING_BYTES
+        for name, value in request.raw_headers
+    )
+    if size_bytes > limit_bytes:
+        raise HeadersTooLarge
+
+
 class Front:
     """Handles the requests of callers."""
 
@@ -155,15 +181,14 @@
     async def _admit(
         self, request: web.BaseRequest, facts: RequestFacts, began_s: float
     ) -> Call:
-        body = await request.read()
+        body = await read_body(request, self._limits().max_body_bytes)
         catalogue = self._fresh_catalogue()
+        check_header_size(request, catalogue.limits.max_header_bytes)
         raw_path = request.raw_path
         path = raw_path.partition("?")[0]
         route = catalogue.route(request.headers.get(hdrs.HOST, ""), path)
         if route is None:
             raise RouteNotFound
-        if len(body) > catalogue.limits.max_body_bytes:
-            raise BodyTooLarge
         workspace = None
         if not route.open_to_all:
             workspace = catalogue.workspace(facts.key)
@@ -196,6 +221,10 @@
             measure(Timing.RATE_WAIT, (elapsed_s() - began_s) * 1000)
         return call
 
+    def _limits(self) -> Limits:
+        catalogue = self._view.catalogue
+        return Limits() if catalogue is None else catalogue.limits
+
     def _fresh_catalogue(self) -> Catalogue:
         catalogue = self._view.catalogue
         if catalogue is None or self._view.config_age_s() >= self._key_fresh_s:
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -84,7 +84,7 @@
     seen: list[web.BaseRequest] = field(default_factory=list)
 
     async def send(
-        self, path: str, method: str = "POST", **headers: str
+        self, path: str, method: str = "POST", body: bytes = b"body", **headers: str
     ) -> tuple[int, bytes, dict[str, str]]:
         """Returns status, body and headers of an answer."""
         sent = {
@@ -96,9 +96,7 @@
         }
         async with (
             aiohttp.ClientSession() as session,
-            session.request(
-                method, self.url + path, headers=sent, data=b"body"
-            ) as answer,
+            session.request(method, self.url + path, headers=sent, data=body) as answer,
         ):
             return answer.status, await answer.read(), dict(answer.headers)
 
@@ -153,7 +151,7 @@
 
 
 async def fine(request: web.BaseRequest) -> web.StreamResponse:
-    body = await request.read()
+    body = b"".join([chunk async for chunk in request.content.iter_any()])
     return web.Response(body=b"done " + body, headers=SIGNED)
 
 
@@ -406,3 +404,16 @@
     async with gateway(withdraw, withdraw) as running:
         assert (await running.send("/safe/x", "GET"))[0] == 502
         assert len(running.seen) == 1
+
+
+async def test_large_requests_pass_up_to_the_limits() -> None:
+    """Guards against a library's own limit in place of the operator's."""
+    async with gateway(fine) as running:
+        large = b"x" * (3 * 1024 * 1024)
+        status, body, _ = await running.send("/once/x", body=large)
+        assert (status, len(body)) == (200, len(large) + 5)
+        assert (await running.send("/once/x", X_Note="n" * 12_000))[0] == 200
+        assert (await running.send("/once/x", body=large * 2))[0] == 413
+        notes = {f"X_Note{n}": "n" * 6_000 for n in range(4)}
+        assert (await running.send("/once/x", **notes))[0] == 431
+        assert len(running.seen) == 2
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,8 +3,10 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
 from damasksaddle.exceptions import SettingsInvalid
+from damasksaddle_platform.__main__ import main
 from damasksaddle_platform.settings import read_settings
 
 TEXT = """
@@ -49,3 +51,6 @@
         read_settings(path)
     with pytest.raises(SettingsInvalid):
         read_settings(tmp_path / "missing.yaml")
+    result = CliRunner().invoke(main, ["--settings", str(path)])
+    assert result.exit_code == 1
+    assert len(result.output.strip().splitlines()) == 1
