--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -26,6 +26,7 @@
     Workspace,
 )
 from damasksaddle_gateway.front import Front
+from damasksaddle_gateway.gateway import MAX_HEADER_BYTES
 from damasksaddle_gateway.holders import Holders
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.placement import Placement
@@ -102,7 +103,13 @@
 
 
 async def listen(handler: Handler) -> tuple[web.ServerRunner, str]:
-    server = web.Server(handler, handler_cancellation=True, access_log=None)
+    server = web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        max_line_size=MAX_HEADER_BYTES,
+        max_field_size=MAX_HEADER_BYTES,
+    )
     runner = web.ServerRunner(server)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
