--- a/packages/gateway/src/damasksaddle_gateway/front.py
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -309,7 +309,8 @@
                 self._placement.end(upstream)
 
     async def _next_upstream(self, call: Call) -> Upstream:
-        until_s = elapsed_s() + call.time_left_s() * PLACEMENT_PATIENCE_SHARE
+        began_s = elapsed_s()
+        until_s = began_s + call.time_left_s() * PLACEMENT_PATIENCE_SHARE
         while True:
             if self._listed is not self._view.upstreams:
                 self._listed = self._view.upstreams
@@ -338,6 +339,7 @@
             # A key may have been withdrawn while the request waited.
             self._fresh_catalogue()
         call.tried.append(upstream.id)
+        measure(Timing.PLACEMENT_WAIT, (elapsed_s() - began_s) * 1000)
         return upstream
 
     @staticmethod
