--- a/packages/gateway/src/damasksaddle_gateway/allotments.py
+++ b/packages/gateway/src/damasksaddle_gateway/allotments.py
@@ -108,6 +108,11 @@
     # Handed out without the store, which the next draw has to take off the row.
     owed: float = 0.0
 
+    def level_now(self, workspace: Workspace) -> float:
+        """Returns the level that was last known, refilled up to now."""
+        gained = (elapsed_s() - self.level_at_s) * workspace.rate_per_s
+        return min(workspace.burst, self.level + gained)
+
 
 class Allotments:
     """Hands out tokens of workspaces."""
@@ -177,8 +182,7 @@
     @staticmethod
     def _missing(allotment: _Allotment, workspace: Workspace) -> float:
         """Returns how many tokens are missing for one more request, as last known."""
-        gained = (elapsed_s() - allotment.level_at_s) * workspace.rate_per_s
-        level = min(workspace.burst, allotment.level + gained)
+        level = allotment.level_now(workspace)
         return allotment.waiting + 1 - level - allotment.drawn.tokens
 
     async def _draw_or_go_on(
@@ -192,11 +196,9 @@
                 raise
         if math.isinf(allotment.level):
             allotment.level, allotment.level_at_s = 0.0, elapsed_s()
-        now_s = elapsed_s()
-        gained = (now_s - allotment.level_at_s) * workspace.rate_per_s
-        level = min(workspace.burst, allotment.level + gained)
+        level = allotment.level_now(workspace)
         got = float(max(0, math.floor(min(level, self._wanted(allotment, workspace)))))
-        allotment.level, allotment.level_at_s = level - got, now_s
+        allotment.level, allotment.level_at_s = level - got, elapsed_s()
         allotment.owed += got
         if not got:
             return max(MIN_WAIT_S, (1 - level) / workspace.rate_per_s)
--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -72,7 +72,6 @@
     overdraft: int = 0
     running: int = 0
     unreported: int = 0
-    used_s: float = 0.0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     give_back: asyncio.TimerHandle | None = None
     # This VM saw the program begin, so it knows all that was granted.
@@ -159,7 +158,6 @@
 
     def _ended(self, ledger: Ledger) -> None:
         ledger.running -= 1
-        ledger.used_s = elapsed_s()
         if not ledger.running and not self.should_stop:
             self._schedule_give_back(ledger)
 
