Let VMs of a large fleet start together, and beat more slowly

Change: the secret is read first; whoever finds none waits up to 0.3 s and reads again before it writes. A VM writes its row only when it joins or leaves, which the others follow by the feed (a leaving VM is known at once, not with the next beat). Beats are small rows of their own, in a part of their own, one a second up to 50 VMs and more slowly beyond. A holder that did not answer is not asked first again for 2 s. A dead VM's rows are removed by one VM, and a row that changed meanwhile no longer ends the roster (the exception was not caught).

Ruled out: pushing heartbeats to peers (VMs times VMs messages).

The stand-in store can postpone a write and not answer it, and closes the connection of a lost answer, as the users' store does.

--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/feeds.py
@@ -0,0 +1,63 @@
+"""Follows a table: reads it whole, then its changes, and whole again where needed."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from damasksaddle.exceptions import AnswerLost, HistoryForgotten, TableUnavailable
+from damasksaddle.platform import Page, VersionedTable, row_key
+from damasksaddle.utils import elapsed_s, get_log
+
+log = get_log("feeds")
+
+# Pause after a failed read, so that a store that is down gets few requests.
+RETRY_S = 0.25
+
+
+@dataclass(slots=True)
+class TableFeed:
+    """
+    The rows of a table, in all of its parts or one that is read whole.
+
+    `on_whole` gets a page with all rows and when it was asked for, `on_changes` what
+    changed since. One read of changes waits `wait_s` for one. `version` is how far the
+    feed has told all changes.
+    """
+
+    table: VersionedTable
+    name: str
+    part: str
+    wait_s: float
+    on_whole: Callable[[Page, float], None]
+    on_changes: Callable[[Page], None]
+    version: int = 0
+
+    async def follow(self, is_stopped: Callable[[], bool]) -> None:
+        """Reads until it is stopped."""
+        while not is_stopped():
+            try:
+                await self._read_whole()
+                while not is_stopped():
+                    await self._read_changes()
+            except HistoryForgotten:
+                log.info("The feed forgot its history; reading all.", table=self.name)
+            except (TableUnavailable, AnswerLost) as error:
+                log.debug("A table was not read.", table=self.name, error=repr(error))
+                await asyncio.sleep(RETRY_S)
+
+    async def _read_whole(self) -> None:
+        sent_s = elapsed_s()
+        prefix = row_key(self.name, self.part, "")
+        page = await self.table.page(prefix)
+        version, rows = page.version, list(page.rows)
+        while not page.complete:
+            page = await self.table.page(prefix, after=page.rows[-1].key)
+            rows += page.rows
+        # What changed while later pages were read is told again as a change.
+        self.version = version
+        self.on_whole(Page(rows, version, page.now_ms), sent_s)
+
+    async def _read_changes(self) -> None:
+        page = await self.table.changes(self.name, self.version, self.wait_s)
+        self.version = max(self.version, page.version)
+        self.on_changes(page)
--- a/packages/gateway/src/damasksaddle_gateway/holders.py
+++ b/packages/gateway/src/damasksaddle_gateway/holders.py
@@ -6,10 +6,11 @@
 the store by compare-and-set, and where it cannot answer, the next one may.
 """
 
+import math
 from collections.abc import Awaitable, Callable
 
 from damasksaddle.exceptions import PeerError, StoreUnavailable
-from damasksaddle.utils import get_log, rendezvous
+from damasksaddle.utils import elapsed_s, get_log, rendezvous
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.reach import CONFIRM_WAIT_S
 from damasksaddle_gateway.roster import Roster
@@ -23,6 +24,9 @@
 # The holder and those that are asked in its place.
 MAX_ASKED = 3
 STORE_RETRY_S = 0.5
+# A VM that did not answer is not asked first for this time: about what it takes until
+# a VM that is gone is no longer listed.
+SUSPECT_S = 2.0
 
 
 class Holders:
@@ -33,11 +37,22 @@
         self._store = store
         self._roster = roster
         self._peers = peers
+        self._suspect_until_s: dict[str, float] = {}
 
     def is_holder(self, name: str) -> bool:
         """Tells whether this VM is the first that is asked."""
         return rendezvous(name, self._roster.alive())[0] == self._vm
 
+    def _order(self, name: str) -> list[str]:
+        """Returns whom to ask in turn; VMs that failed a moment ago come last."""
+        now_s = elapsed_s()
+        order = rendezvous(name, self._roster.alive())
+        order.sort(key=lambda vm: self._suspect_until_s.get(vm, -math.inf) > now_s)
+        asked = order[:MAX_ASKED]
+        if self._vm not in asked:
+            asked[-1] = self._vm
+        return asked
+
     async def ask(
         self,
         name: str,
@@ -50,9 +65,7 @@
 
         Raises the holder's `Refusal`, or `StoreUnavailable` if nobody can answer.
         """
-        asked = rendezvous(name, self._roster.alive())[:MAX_ASKED]
-        if self._vm not in asked:
-            asked[-1] = self._vm
+        asked = self._order(name)
         if not self._store.is_open():
             # The holder may wait for an outage to be confirmed.
             wait_s += CONFIRM_WAIT_S
@@ -70,4 +83,6 @@
                     asked=type(message).__name__,
                     error=repr(error),
                 )
+                if isinstance(error, PeerError):
+                    self._suspect_until_s[vm] = elapsed_s() + SUSPECT_S
         raise StoreUnavailable(f"{name}: no holder", retry_after_s=STORE_RETRY_S)
--- a/packages/gateway/src/damasksaddle_gateway/peers.py
+++ b/packages/gateway/src/damasksaddle_gateway/peers.py
@@ -5,6 +5,9 @@
 in the store.
 """
 
+import asyncio
+import json
+import random
 import secrets
 from typing import Any
 
@@ -27,6 +30,8 @@
 # A peer in another failure domain accepts within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.3
 RETRY_S = 0.3
+# Long against what a write takes, and short against a start.
+DRAW_WITHIN_S = 0.3
 
 
 def _no_epoch() -> int:
@@ -67,7 +72,7 @@
                 break
             except (TableUnavailable, AnswerLost) as error:
                 log.info("The fleet's secret is not read.", error=repr(error))
-                await self.sleep(RETRY_S)
+                await self.sleep(RETRY_S * random.uniform(0.5, 1.5))
         else:
             return
         settings = self._settings
@@ -87,7 +92,18 @@
         await self._server.start(settings.peers.host, settings.peers.port)
 
     async def _secret(self) -> str:
-        row = CachedRow(row_key(TABLE, "", "secret"))
+        """Reads the secret; the first VM of the fleet draws it."""
+        key = row_key(TABLE, "", "secret")
+        row = await self._table.row(key)
+        if row is None:
+            # All VMs may start at once; the first one writes while the others wait.
+            await asyncio.sleep(random.uniform(0, DRAW_WITHIN_S))
+            row = await self._table.row(key)
+        if row is not None:
+            return str(json.loads(row.value)["secret"])
+        return await self._draw_secret(key)
+
+    async def _draw_secret(self, key: str) -> str:
         secret = secrets.token_hex(SECRET_BYTES)
 
         def draw(value: dict[str, Any] | None) -> dict[str, Any] | None:
@@ -97,7 +113,7 @@
                 return None
             return {"secret": secret}
 
-        await change_row(self._table, row, draw)
+        await change_row(self._table, CachedRow(key), draw)
         return secret
 
     async def on_stop(self) -> None:
--- a/packages/gateway/src/damasksaddle_gateway/roster.py
+++ b/packages/gateway/src/damasksaddle_gateway/roster.py
@@ -1,9 +1,11 @@
 """
 The VMs of the fleet, and which of them callers should use.
 
-Each VM writes a row with a counter that grows. A VM whose row has not changed while
-the others could read the table is taken as dead: it is not listed to callers, and
-nothing is asked of it.
+Each VM writes a row when it joins or leaves; the others follow these changes. Beside
+it, each writes a counter that grows. A VM whose counter has not changed while the
+others could read the table is taken as dead: it is not listed to callers, and nothing
+is asked of it. The more VMs there are, the slower they beat, so that the bytes that
+each reads and the writes of all stay bounded.
 """
 
 import json
@@ -13,20 +15,29 @@
 
 from mode import Service
 
-from damasksaddle.exceptions import AnswerLost, TableUnavailable
-from damasksaddle.platform import Put, Row, VersionedTable, row_key
-from damasksaddle.utils import elapsed_s, get_log
+from damasksaddle.exceptions import PlatformError
+from damasksaddle.platform import Page, Put, Row, VersionedTable, row_key
+from damasksaddle.utils import elapsed_s, get_log, rendezvous
+from damasksaddle_gateway.feeds import TableFeed
 from damasksaddle_gateway.settings import GatewaySettings
 
 log = get_log("roster")
 
 TABLE = "vms"
-# How often a VM renews its row and reads those of the others.
+BEATS_TABLE = "beats"
+# A part of its own, so that beats do not wait behind other writes.
+PART = "vms"
+# How often a VM beats and reads the beats of the others.
 BEAT_S = 1.0
-# A VM is listed while its row changed within this time: two beats may fail.
-DEAD_AFTER_S = 2.6
+# All VMs together beat at most this often: a quarter of what one part of the store
+# takes, and 50 rows of 90 bytes a second for each VM to read.
+BEATS_PER_S = 50.0
+# A VM is listed while its counter changed within so many beats: two may fail.
+DEAD_AFTER_BEATS = 2.6
 # Rows of VMs that were dead for so long are removed.
 REMOVE_AFTER_S = 60.0
+# How long one read of the changes waits for one.
+FEED_WAIT_S = 5.0
 # Callers of a failure domain get only its own VMs if there are at least this many.
 MIN_LOCAL_VMS = 2
 MAX_ADDRESSES = 64
@@ -34,7 +45,7 @@
 
 @dataclass(slots=True)
 class Member:
-    """A VM as its row tells; `seen_s` is when the row was last seen to change."""
+    """A VM as its row tells; `seen_s` is when its counter was last seen to change."""
 
     vm: str
     address: str
@@ -43,6 +54,7 @@
     leaving: bool
     version: int
     seen_s: float
+    beat_version: int = 0
 
 
 class Roster(Service):
@@ -58,6 +70,9 @@
         # Callers are not sent to this VM while it cannot serve them.
         self.is_ready: Callable[[], bool] = lambda: True
         self._read_s = -math.inf
+        self._feed = TableFeed(
+            table, TABLE, PART, FEED_WAIT_S, self._on_whole, self._on_changes
+        )
 
     def is_known(self) -> bool:
         """Tells whether the VMs were ever read."""
@@ -84,89 +99,153 @@
         far = [m.address for m in alive if m.failure_domain != failure_domain]
         return (near + far)[:MAX_ADDRESSES]
 
+    def beat_s(self) -> float:
+        """Returns how often each VM beats, at the present number of VMs."""
+        return max(BEAT_S, len(self._members) / BEATS_PER_S)
+
     def _is_listed(self, member: Member) -> bool:
         if member.leaving:
             return False
         if member.vm == self._settings.vm:
             return not self._leaving
         # Ages count up to the last good read: a table that is away makes no VM dead.
-        return self._read_s - member.seen_s < DEAD_AFTER_S
+        return self._read_s - member.seen_s < self._dead_after_s()
+
+    def _dead_after_s(self) -> float:
+        return DEAD_AFTER_BEATS * self.beat_s()
 
     async def leave(self) -> None:
         """Tells the other VMs that callers should not come here any more."""
         self._leaving = True
-        await self._beat()
+        await self._register()
 
     @Service.task
     async def _follow(self) -> None:
+        await self._feed.follow(lambda: self.should_stop)
+
+    @Service.task
+    async def _keep_beating(self) -> None:
         while not self.should_stop:
+            if not self._is_registered():
+                await self._register()
             await self._beat()
-            await self._read()
-            await self.sleep(BEAT_S)
+            await self._read_beats()
+            await self.sleep(self.beat_s())
 
-    async def _beat(self) -> None:
-        self._beats += 1
+    def _is_registered(self) -> bool:
+        """Tells whether this VM's row, as last told, says what it should."""
+        settings = self._settings
+        known = self._members.get(settings.vm)
+        return (
+            known is not None
+            and known.leaving == self._leaving
+            and known.address == str(settings.callers)
+            and known.peers == str(settings.peers)
+        )
+
+    async def _register(self) -> None:
         settings = self._settings
         value = {
             "callers": str(settings.callers),
             "peers": str(settings.peers),
             "failure_domain": settings.failure_domain,
             "leaving": self._leaving,
-            "beats": self._beats,
         }
-        key = row_key(TABLE, "", settings.vm)
+        await self._write(TABLE, json.dumps(value))
+
+    async def _beat(self) -> None:
+        self._beats += 1
+        await self._write(BEATS_TABLE, str(self._beats))
+
+    async def _write(self, table: str, value: str) -> None:
+        key = row_key(table, PART, self._settings.vm)
         try:
-            await self._table.commit([Put(key, json.dumps(value))])
-        except (TableUnavailable, AnswerLost) as error:
-            log.debug("A heartbeat was not written.", error=repr(error))
+            await self._table.commit([Put(key, value)])
+        except PlatformError as error:
+            log.debug("A row of this VM is not written.", key=key, error=repr(error))
 
-    async def _read(self) -> None:
+    def _on_whole(self, page: Page, sent_s: float) -> None:
+        members = {}
+        for row in page.rows:
+            member = self._member(row)
+            members[member.vm] = member
+        for vm in self._members.keys() - members.keys():
+            log.info("A VM's row is gone.", vm=vm)
+        self._members = members
+        if not self.is_known():
+            self._read_s = sent_s
+
+    def _on_changes(self, page: Page) -> None:
+        for row in page.rows:
+            if row.deleted:
+                gone = self._members.pop(_vm(row), None)
+                if gone is not None:
+                    log.info("A VM's row is gone.", vm=gone.vm)
+            else:
+                member = self._member(row)
+                self._members[member.vm] = member
+
+    def _member(self, row: Row) -> Member:
+        vm = _vm(row)
+        known = self._members.get(vm)
+        if known is not None and known.version == row.version:
+            return known
+        value = json.loads(row.value)
+        log.info("A VM joined or changed.", vm=vm, leaving=value["leaving"])
+        return Member(
+            vm,
+            value["callers"],
+            value["peers"],
+            value["failure_domain"],
+            value["leaving"],
+            row.version,
+            elapsed_s(),
+            0 if known is None else known.beat_version,
+        )
+
+    async def _read_beats(self) -> None:
         sent_s = elapsed_s()
+        prefix = row_key(BEATS_TABLE, PART, "")
         try:
-            page = await self._table.page(row_key(TABLE, "", ""))
-        except (TableUnavailable, AnswerLost) as error:
-            log.debug("The VMs were not read.", error=repr(error))
+            page = await self._table.page(prefix)
+            rows = list(page.rows)
+            while not page.complete:
+                page = await self._table.page(prefix, after=page.rows[-1].key)
+                rows += page.rows
+        except PlatformError as error:
+            log.debug("The beats were not read.", error=repr(error))
             return
-        if sent_s - self._read_s > DEAD_AFTER_S:
-            # Nobody could renew a row while the table was away.
+        if sent_s - self._read_s > self._dead_after_s():
+            # Nobody could beat while the table was away.
             for member in self._members.values():
                 member.seen_s = sent_s
         self._read_s = sent_s
-        self._replace(page.rows, sent_s)
+        self._note_beats(rows, sent_s)
         await self._remove_dead(sent_s)
 
-    def _replace(self, rows: list[Row], now_s: float) -> None:
-        members = {}
+    def _note_beats(self, rows: list[Row], now_s: float) -> None:
         for row in rows:
-            vm = row.key.rpartition("/")[2]
-            known = self._members.get(vm)
-            if known is not None and known.version == row.version:
-                members[vm] = known
-                continue
-            value = json.loads(row.value)
-            members[vm] = Member(
-                vm,
-                value["callers"],
-                value["peers"],
-                value["failure_domain"],
-                value["leaving"],
-                row.version,
-                now_s,
-            )
-            if known is None or known.leaving != value["leaving"]:
-                log.info("A VM joined or changed.", vm=vm, leaving=value["leaving"])
-        for vm in self._members.keys() - members.keys():
-            log.info("A VM's row is gone.", vm=vm)
-        self._members = members
+            member = self._members.get(_vm(row))
+            if member is not None and member.beat_version != row.version:
+                member.beat_version = row.version
+                member.seen_s = now_s
 
     async def _remove_dead(self, now_s: float) -> None:
+        """Removes rows of VMs that are long dead; one VM does it for each."""
         for member in list(self._members.values()):
-            if member.vm == self._settings.vm:
-                continue
             if now_s - member.seen_s < REMOVE_AFTER_S:
                 continue
-            key = row_key(TABLE, "", member.vm)
+            if rendezvous(member.vm, self.alive())[0] != self._settings.vm:
+                continue
+            puts = [
+                Put(row_key(TABLE, PART, member.vm), None, member.version),
+                Put(row_key(BEATS_TABLE, PART, member.vm), None),
+            ]
             try:
-                await self._table.commit([Put(key, None, member.version)])
-            except (TableUnavailable, AnswerLost) as error:
+                await self._table.commit(puts)
+            except PlatformError as error:
                 log.debug("A dead VM's row stays.", vm=member.vm, error=repr(error))
+
+
+def _vm(row: Row) -> str:
+    return row.key.rpartition("/")[2]
--- a/packages/gateway/src/damasksaddle_gateway/view.py
+++ b/packages/gateway/src/damasksaddle_gateway/view.py
@@ -18,10 +18,11 @@
 
 from mode import Service
 
-from damasksaddle.exceptions import AnswerLost, HistoryForgotten, TableUnavailable
+from damasksaddle.exceptions import AnswerLost, TableUnavailable
 from damasksaddle.platform import Page, Row, row_key
 from damasksaddle.utils import elapsed_s, get_log
 from damasksaddle_gateway.catalogue import Catalogue, Upstream
+from damasksaddle_gateway.feeds import RETRY_S, TableFeed
 from damasksaddle_gateway.interfaces import Decoder
 from damasksaddle_gateway.store import StoreGate
 
@@ -32,8 +33,6 @@
 # How often the upstreams are read: a third of the time in which a draining upstream
 # has to be left alone, so that one read may fail.
 UPSTREAM_POLL_SHARE = 1 / 3
-# Pause after a failed read, so that a store that is down gets few requests.
-RETRY_S = 0.25
 # An upstream whose row vanished while the table was away is kept this long after the
 # table came back, since upstreams renew their rows within two seconds of that.
 REAPPEAR_S = 2.0
@@ -51,7 +50,14 @@
         self._poll_s = drain_ms / 1000 * UPSTREAM_POLL_SHARE
         self.catalogue: Catalogue | None = None
         self.upstreams: dict[str, Upstream] = {}
-        self._config_version = 0
+        self._feed = TableFeed(
+            table,
+            decoder.config_table,
+            "",
+            FEED_WAIT_S,
+            self._on_whole,
+            self._on_changes,
+        )
         self._config_proved_s = -math.inf
         # When a version was the newest one, for versions that the feed has not reached.
         self._newest: deque[tuple[float, int]] = deque(maxlen=64)
@@ -76,30 +82,14 @@
 
     @Service.task
     async def _follow_config(self) -> None:
-        while not self.should_stop:
-            try:
-                await self._read_config()
-                while not self.should_stop:
-                    await self._read_changes()
-            except HistoryForgotten:
-                log.info("The feed has forgotten its history; reading it all.")
-            except (TableUnavailable, AnswerLost) as error:
-                log.debug("The configuration was not read.", error=repr(error))
-                await asyncio.sleep(RETRY_S)
+        await self._feed.follow(lambda: self.should_stop)
 
-    async def _read_config(self) -> None:
-        sent_s = elapsed_s()
-        page = await self._table.page(row_key(self._decoder.config_table, "", ""))
+    def _on_whole(self, page: Page, sent_s: float) -> None:
         self._apply(page.rows)
-        self._config_version = page.version
         self._note_version(sent_s, page)
 
-    async def _read_changes(self) -> None:
-        page = await self._table.changes(
-            self._decoder.config_table, self._config_version, FEED_WAIT_S
-        )
+    def _on_changes(self, page: Page) -> None:
         self._apply(page.rows)
-        self._config_version = max(self._config_version, page.version)
         self._prove()
 
     def _note_version(self, sent_s: float, page: Page) -> None:
@@ -109,7 +99,7 @@
         self._prove()
 
     def _prove(self) -> None:
-        while self._newest and self._newest[0][1] <= self._config_version:
+        while self._newest and self._newest[0][1] <= self._feed.version:
             made_s, _ = self._newest.popleft()
             self._config_proved_s = max(self._config_proved_s, made_s)
 
--- a/packages/standins/src/damasksaddle_standins/__main__.py
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -15,6 +15,7 @@
 from damasksaddle_standins.costs import measure, table
 from damasksaddle_standins.demo import run_demo
 from damasksaddle_standins.engine import EngineSettings, ModelEngine
+from damasksaddle_standins.faults import run_faults
 from damasksaddle_standins.platform import MemoryObjects, MemoryTable
 from damasksaddle_standins.recording import Recorder
 from damasksaddle_standins.servers import engine_app, platform_app, tool_app
@@ -120,6 +121,17 @@
     click.echo(markdown(asyncio.run(found)))
 
 
+@main.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--seconds", default=30.0, show_default=True, help="Time with faults.")
+@click.option("--vms", default=4, show_default=True)
+def faults(seed: int, seconds: float, vms: int) -> None:
+    """Breaks gateway processes from outside and checks what they promise."""
+    report = asyncio.run(run_faults(seed, seconds, vms))
+    click.echo(report.as_json())
+    sys.exit(1 if report.broken else 0)
+
+
 @main.command()
 @click.option("--seed", default=1, show_default=True)
 @click.option("--minutes", default=10.0, show_default=True, help="Simulated time.")
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/faults/fleet.py
@@ -0,0 +1,160 @@
+"""Gateway processes, each with a store of its own view and proxies on its links."""
+
+import asyncio
+import itertools
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+
+from damasksaddle_standins.faults.promises import DRAIN_S, GRACE_S, REVOKE_S, Promises
+from damasksaddle_standins.faults.proxy import Proxy
+from damasksaddle_standins.processes import Process
+from damasksaddle_standins.rows_server import RowsServer
+from damasksaddle_standins.versioned import VersionedRows
+
+# The whole of 127.0.0.0/8 is loopback, so each VM has an address of its own and the
+# same ports; the process id keeps runs beside each other apart.
+CALLERS_PORT, READY_PORT, DIRECTORY_PORT = 8360, 8361, 8362
+INTERNAL_PORTS = (8370, 8371)
+READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.1
+_runs = itertools.count()
+
+
+@dataclass(slots=True, eq=False)
+class Vm:
+    """One VM: its process, its view of the store and its links."""
+
+    name: str
+    host: str
+    settings_path: Path
+    log_path: Path
+    store: RowsServer
+    store_runner: web.AppRunner
+    store_link: Proxy
+    caller_link: Proxy
+    process: Process | None = None
+    # Faults that hold the process: a restart waits until it is free.
+    busy: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    def is_running(self) -> bool:
+        """Tells whether the process has not ended."""
+        return self.process is not None and self.process.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to this VM's process."""
+        if self.process is not None:
+            self.process.signal(number)
+
+    async def start(self) -> None:
+        """Starts the process; it is not waited for."""
+        with self.log_path.open("ab") as log_file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "damasksaddle_platform",
+                "--settings",
+                str(self.settings_path),
+                stdout=log_file,
+                stderr=log_file,
+            )
+        self.process = Process(process, [])
+
+    async def end(self) -> None:
+        """Kills the process and waits for its end."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    def write_settings(self, comment: str = "") -> None:
+        """Writes the settings file."""
+        settings = {
+            "NodeName": self.name,
+            "Ip": self.host,
+            "Zone": "a",
+            "Listen": {
+                "Frontend": f"{self.host}:{CALLERS_PORT}",
+                "Ready": f"{self.host}:{READY_PORT}",
+                "Directory": f"{self.host}:{DIRECTORY_PORT}",
+            },
+            "InternalPorts": list(INTERNAL_PORTS),
+            "Bounds": {
+                "GraceS": GRACE_S,
+                "RevokeMs": REVOKE_S * 1000,
+                "DrainMs": DRAIN_S * 1000,
+            },
+            "Platform": {"Address": "{}:{}".format(*self.store_link.address)},
+            "Comment": comment,
+        }
+        self.settings_path.write_text(json.dumps(settings))
+
+
+@dataclass(slots=True)
+class Fleet:
+    """All VMs of a run, and the rows that they share."""
+
+    directory: Path
+    promises: Promises
+    rows: VersionedRows = field(default_factory=VersionedRows)
+    vms: list[Vm] = field(default_factory=list)
+
+    async def start(self, size: int) -> None:
+        """Starts all VMs and waits until callers can be served."""
+        network = f"127.{1 + os.getpid() % 250}.{next(_runs) % 250}"
+        for number in range(1, size + 1):
+            await self._add(f"vm-{number}", f"{network}.{number}")
+        for vm in self.vms:
+            await vm.start()
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for vm in self.vms:
+                await self._wait_ready(vm)
+
+    async def _add(self, name: str, host: str) -> None:
+        store = RowsServer(self.rows)
+        runner = web.AppRunner(store.app(), access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        store_link = Proxy(runner.addresses[0][:2])
+        await store_link.start()
+        caller_link = Proxy((host, CALLERS_PORT))
+        await caller_link.start()
+        vm = Vm(
+            name,
+            host,
+            self.directory / f"{name}.yaml",
+            self.directory / f"{name}.log",
+            store,
+            runner,
+            store_link,
+            caller_link,
+        )
+        vm.write_settings()
+        self.vms.append(vm)
+
+    @staticmethod
+    async def _wait_ready(vm: Vm) -> None:
+        url = f"http://{vm.host}:{READY_PORT}/readyz"
+        async with aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    async with session.get(url) as answer:
+                        if answer.status == web.HTTPOk.status_code:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(READY_POLL_S)
+
+    async def stop(self) -> None:
+        """Ends all processes and links."""
+        for vm in self.vms:
+            await vm.end()
+            await vm.caller_link.stop()
+            await vm.store_link.stop()
+            await vm.store_runner.cleanup()
--- /dev/null
+++ b/packages/standins/src/damasksaddle_standins/faults/traffic.py
@@ -0,0 +1,68 @@
+"""What callers ask for, and what an upstream should answer."""
+
+from dataclasses import dataclass
+
+HOST = "desk.example"
+EVENTS = 6
+TOKENS_PER_EVENT = 4
+TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
+TURNS = 5
+# The budget is spent before the last turn of a program that goes on too long.
+BUDGET_TOKENS = TURNS * TURN_TOKENS
+DEADLINE_MS = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A route, and what may be done with its requests."""
+
+    name: str
+    prefix: str
+    service: str
+    route_type: str
+    resumable: bool = False
+    max_attempts: int = 1
+
+    def is_stream(self) -> bool:
+        """Tells whether answers are streams of events."""
+        return self.route_type == "streaming"
+
+    def may_run_again(self) -> bool:
+        """Tells whether one request may run more than once."""
+        return self.resumable or self.route_type == "idempotent"
+
+    def route(self) -> dict[str, object]:
+        """Returns the route in the operator's configuration."""
+        return {
+            "Name": self.name,
+            "Host": HOST,
+            "Prefix": self.prefix,
+            "Type": self.route_type,
+            "TimeoutMs": DEADLINE_MS,
+            "Service": self.service,
+            "Resumable": self.resumable,
+            "MaxAttempts": self.max_attempts,
+        }
+
+
+TURN = Kind("turn", "/turn/", "llm", "streaming", resumable=True, max_attempts=2)
+TALK = Kind("talk", "/talk/", "llm", "streaming")
+LOOK = Kind("look", "/look/", "desk", "idempotent", max_attempts=2)
+PAY = Kind("pay", "/pay/", "desk", "non_idempotent")
+KINDS = (TURN, TALK, LOOK, PAY)
+CALLS = (LOOK, PAY)
+
+
+def kind_of(path: str) -> Kind | None:
+    """Returns the kind of request that a path belongs to."""
+    return next((kind for kind in KINDS if path.startswith(kind.prefix)), None)
+
+
+def event(path: str, number: int) -> bytes:
+    """Returns one event of a stream."""
+    return f"id: {number}\ndata: {path}.{number}\n\n".encode()
+
+
+def plain_body(path: str, request_id: str) -> bytes:
+    """Returns the answer of a plain service."""
+    return f"{path}|{request_id}|{'x' * 200}".encode()
--- a/packages/standins/src/damasksaddle_standins/rows_server.py
+++ b/packages/standins/src/damasksaddle_standins/rows_server.py
@@ -5,7 +5,12 @@
 
 from aiohttp import web
 
-from damasksaddle.exceptions import HistoryForgotten, RowTaken, TableUnavailable
+from damasksaddle.exceptions import (
+    AnswerLost,
+    HistoryForgotten,
+    RowTaken,
+    TableUnavailable,
+)
 from damasksaddle.platform import Page, Put, Row, row_key
 from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
 
@@ -41,6 +46,10 @@
             return await handler(request)
         except TableUnavailable:
             return web.Response(status=503)
+        except AnswerLost:
+            if request.transport is not None:
+                request.transport.abort()
+            raise
 
     async def _get(self, request: web.Request) -> web.Response:
         query = request.query
--- a/packages/standins/src/damasksaddle_standins/versioned.py
+++ b/packages/standins/src/damasksaddle_standins/versioned.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 
 from damasksaddle.exceptions import (
@@ -17,6 +18,8 @@
 TRANSACTION_S = 0.005
 # Longer than any client waits.
 MUTE_S = 3600.0
+# When a write takes effect that was postponed.
+POSTPONED_S = 2.0
 
 
 @dataclass(slots=True)
@@ -66,9 +69,10 @@
     One client's view of the rows.
 
     `down` refuses every call, `lose` decides for each write whether its answer is
-    lost after it took effect, and `mute` whether it just never comes. `silent` keeps
-    the feed from telling anything: it then names no newer version than the one that
-    was asked for.
+    lost after it took effect, `mute` whether it just never comes, and `postpone`
+    whether the write takes effect only later and is not answered. `silent` keeps the
+    feed from telling anything: it then names no newer version than the one that was
+    asked for.
     """
 
     def __init__(self, rows: VersionedRows) -> None:
@@ -77,6 +81,7 @@
         self.silent = False
         self.lose: Callable[[list[Put]], bool] = lambda puts: False
         self.mute: Callable[[list[Put]], bool] = lambda puts: False
+        self.postpone: Callable[[list[Put]], bool] = lambda puts: False
         self.calls = 0
 
     async def _call(self, time_s: float) -> None:
@@ -131,9 +136,18 @@
 
     async def commit(self, puts: list[Put]) -> Page:
         await self._call(CALL_S + TRANSACTION_S)
+        if self.postpone(puts):
+            loop = asyncio.get_running_loop()
+            loop.call_later(POSTPONED_S, self._apply_late, puts)
+            raise AnswerLost("the stand-in postponed the write")
         self._rows.apply(puts)
         if self.lose(puts):
             raise AnswerLost("the stand-in lost the answer")
         if self.mute(puts):
             await asyncio.sleep(MUTE_S)
         return self._page([])
+
+    def _apply_late(self, puts: list[Put]) -> None:
+        # Its condition may no longer hold; nobody waits for the answer.
+        with suppress(RowTaken):
+            self._rows.apply(puts)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -11,6 +12,7 @@
 from damasksaddle.platform import Put
 from damasksaddle.utils import rendezvous
 from damasksaddle_gateway.holders import Holders
+from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.reach import Reach
 from damasksaddle_gateway.roster import Roster
 from damasksaddle_gateway.settings import Address
@@ -23,16 +25,19 @@
 pytestmark = pytest.mark.looptime
 
 
-def _beat(rows: VersionedRows, vm: str, beats: int, **changes: object) -> None:
+def _join(rows: VersionedRows, vm: str, **changes: object) -> None:
     value = {
         "callers": f"{vm}:80",
         "peers": f"{vm}:81",
         "failure_domain": "a",
         "leaving": False,
-        "beats": beats,
         **changes,
     }
-    rows.apply([Put(f"vms//{vm}", json.dumps(value))])
+    rows.apply([Put(f"vms/vms/{vm}", json.dumps(value))])
+
+
+def _beat(rows: VersionedRows, vm: str, beats: int) -> None:
+    rows.apply([Put(f"beats/vms/{vm}", str(beats))])
 
 
 def _roster(table: VersionedStandin) -> Roster:
@@ -44,12 +49,14 @@
 ) -> None:
     """Guards against callers that are sent to a VM that is gone."""
     async with _roster(table) as roster:
+        for vm in ("vm-b", "vm-c", "vm-d"):
+            _join(rows, vm)
+        _join(rows, "vm-e", leaving=True)
         for beats in range(8):
-            _beat(rows, "vm-b", beats)
-            _beat(rows, "vm-c", 0)
+            for vm in ("vm-b", "vm-c", "vm-e"):
+                _beat(rows, vm, beats)
             if beats == 0:
                 _beat(rows, "vm-d", beats)
-            _beat(rows, "vm-e", beats, leaving=True)
             await asyncio.sleep(0.5)
         assert set(roster.addresses("a")) == {"vm-a:80", "vm-b:80", "vm-c:80"}
         assert set(roster.alive()) == {"vm-a", "vm-b", "vm-c"}
@@ -62,6 +69,7 @@
 ) -> None:
     """Guards against a fleet that lists nobody because nobody can beat."""
     async with _roster(table) as roster:
+        _join(rows, "vm-b")
         _beat(rows, "vm-b", 0)
         await asyncio.sleep(1.5)
         table.down = True
@@ -79,7 +87,7 @@
 ) -> None:
     """Guards against answers that cross failure domains without need."""
     for vm in ("vm-b", "vm-c"):
-        _beat(rows, vm, 0, failure_domain="b")
+        _join(rows, vm, failure_domain="b")
     async with _roster(table) as roster:
         await asyncio.sleep(1.2)
         assert set(roster.addresses("b")) == {"vm-b:80", "vm-c:80"}
@@ -88,6 +96,63 @@
         assert len(roster.addresses("a")) == 3
 
 
+async def test_a_vm_that_leaves_is_known_at_once(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against callers that are sent to a VM until the next beat is read."""
+    async with _roster(table) as roster:
+        _join(rows, "vm-b")
+        await asyncio.sleep(1.2)
+        assert "vm-b" in roster.alive()
+        _join(rows, "vm-b", leaving=True)
+        await asyncio.sleep(0.05)
+        assert "vm-b" not in roster.alive()
+
+
+async def test_many_vms_beat_more_slowly(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against reads and writes that grow with the square of the VMs."""
+    for number in range(399):
+        _join(rows, f"vm-{number}")
+    async with _roster(table) as roster:
+        await asyncio.sleep(1.0)
+        before = table.calls
+        await asyncio.sleep(24.0)
+        # A write and a read for each beat of 8 s, and a feed that waits for 5 s.
+        assert table.calls - before <= 3 * 2 + 5
+        assert len(roster.alive()) == 1
+
+
+async def test_rows_of_long_dead_vms_are_removed(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against a roster that ends because another VM removed the row first."""
+    async with _roster(table) as roster:
+        _join(rows, "vm-b")
+        _beat(rows, "vm-b", 0)
+        await asyncio.sleep(55)
+        # A write that the roster has not been told of yet.
+        rows.rows["vms/vms/vm-b"] = replace(rows.rows["vms/vms/vm-b"], version=10**6)
+        await asyncio.sleep(10)
+        assert "vms/vms/vm-b" in rows.rows
+        _join(rows, "vm-b")
+        await asyncio.sleep(70)
+        assert "vms/vms/vm-b" not in rows.rows
+        assert roster.alive() == ["vm-a"]
+
+
+async def test_a_vm_whose_row_was_removed_joins_again(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against a VM that was suspended for long and stays unknown."""
+    async with _roster(table):
+        await asyncio.sleep(1.5)
+        rows.apply([Put("vms/vms/vm-a", None)])
+        await asyncio.sleep(1.5)
+        assert "vms/vms/vm-a" in rows.rows
+
+
 class FakePeers:
     """Answers for other VMs; None stands for one that does not answer."""
 
@@ -182,3 +247,40 @@
     answered_by, _ = await holders.ask("ngo", Ok(), local, 0.0)
     assert answered_by in (order[2], "vm-a")
     assert holders.is_holder("ngo") == (order[0] == "vm-a")
+
+
+async def test_a_holder_that_did_not_answer_is_not_asked_first_again(
+    table: VersionedStandin,
+) -> None:
+    """Guards against requests that each wait for a holder that is gone."""
+    vms = ["vm-a", "vm-b", "vm-c", "vm-d"]
+    names = [n for n in map(str, range(99)) if "vm-a" not in rendezvous(n, vms)[:2]]
+    first, second, *_ = rendezvous(names[0], vms)
+    peers = FakePeers({second: Ok()})
+    holders = Holders("vm-a", StoreGate(table), _fleet(*vms), peers)  # type: ignore[arg-type]
+
+    async def local() -> Ok:
+        return Ok()
+
+    for _ in range(5):
+        answered, _message = await holders.ask(names[0], Ok(), local, 0.0)
+        assert answered == second
+    assert peers.asked.count(first) == 1
+    await asyncio.sleep(3)
+    await holders.ask(names[0], Ok(), local, 0.0)
+    assert peers.asked.count(first) == 2
+
+
+async def test_vms_that_start_at_once_draw_one_secret_with_few_writes(
+    rows: VersionedRows,
+) -> None:
+    """Guards against starts that choke the store, so that no VM knows the secret."""
+    tables = [VersionedStandin(rows) for _ in range(80)]
+    all_peers = [
+        Peers(StoreGate(table), _fleet("vm-a"), make_settings("vm-a"))  # type: ignore[arg-type]
+        for table in tables
+    ]
+    found = await asyncio.gather(*(peers._secret() for peers in all_peers))
+    assert len(set(found)) == 1
+    # Two reads each, and writes only from those that draw within one write.
+    assert sum(table.calls for table in tables) <= 2 * 80 + 10
