Tell a program's first turn from its later ones when the rate is short

Cause: every turn of a program's own line looked like the first, because prompts of later turns have as many parts as the first (the last part grows). So programs under way had to leave the reserve that was meant for them, and were stopped midway.

Change: a request that may begin a program names it to the holder of the workspace's rate, which knows the programs that it admitted; only the first turn leaves the reserve. The budgets' flag means what the prompt tells: that the turn can be the first.

--- a/packages/gateway/src/damasksaddle_gateway/allotments.py
+++ b/packages/gateway/src/damasksaddle_gateway/allotments.py
@@ -9,8 +9,9 @@
 While the store is away for all VMs, `may_go_on` lets the holder hand out tokens from
 the level that it knew; what it handed out is taken off the row afterwards.
 
-Requests wait in line for a short time when the bucket is empty. A request may ask for a
-reserve to be left for more urgent ones; it is refused while the bucket is lower.
+Requests wait in line for a short time when the bucket is empty. One that begins a
+program leaves a reserve to the programs under way; it is refused while the bucket is
+lower. The first turn that a workspace's holder sees of a program begins it.
 """
 
 import asyncio
@@ -49,6 +50,9 @@
 LOW_SHARE = 0.25
 STORE_RETRY_S = 0.5
 MIN_RETRY_S = 0.1
+# A program without a turn for this time has ended: twice the longest that the users'
+# programs wait for an answer and come back.
+PROGRAM_IDLE_S = 10.0
 # A draw that found too little waits at least this long before the next.
 MIN_WAIT_S = 0.02
 
@@ -105,9 +109,24 @@
     waiting: int = 0
     level: float = math.inf
     level_at_s: float = 0.0
+    # When the programs under way last asked for a turn.
+    begun_s: dict[str, float] = field(default_factory=dict)
     # Handed out without the store, which the next draw has to take off the row.
     owed: float = 0.0
 
+    def is_begun(self, program: str) -> bool:
+        """Tells whether a program was admitted here a while ago."""
+        return elapsed_s() - self.begun_s.get(program, -math.inf) < PROGRAM_IDLE_S
+
+    def note_begun(self, program: str) -> None:
+        """Books that a turn of a program is admitted."""
+        now_s = elapsed_s()
+        self.begun_s.pop(program, None)
+        self.begun_s[program] = now_s
+        # The oldest come first.
+        while now_s - next(iter(self.begun_s.values())) >= PROGRAM_IDLE_S:
+            del self.begun_s[next(iter(self.begun_s))]
+
     def level_now(self, workspace: Workspace) -> float:
         """Returns the level that was last known, refilled up to now."""
         gained = (elapsed_s() - self.level_at_s) * workspace.rate_per_s
@@ -133,18 +152,20 @@
         workspace: Workspace,
         wanted: int,
         max_wait_s: float,
-        reserve: int,
+        reserve: int = 0,
+        program: str = "",
     ) -> int:
         """
         Returns at least one token, and up to `wanted` if the bucket is ample.
 
+        If the request begins `program`, it leaves `reserve` tokens in the bucket.
         Raises `RateExceeded` with the time until there will be one if that is longer
         than `max_wait_s`, and `StoreUnavailable` if the store cannot tell.
         """
         allotment = self._allotment(workspace)
         self._refuse_hopeless(allotment, workspace, max_wait_s)
         give_up_s = elapsed_s() + max_wait_s
-        if reserve:
+        if program and not allotment.is_begun(program):
             await self._wait_for_reserve(allotment, workspace, reserve, give_up_s)
         allotment.waiting += 1
         try:
@@ -154,6 +175,8 @@
                     taken = allotment.drawn.take(portion)
                     if taken:
                         allotment.demand.count(taken)
+                        if program:
+                            allotment.note_begun(program)
                         return taken
                     wait_s = await self._draw_or_go_on(allotment, workspace)
                     if wait_s and elapsed_s() + wait_s > give_up_s:
@@ -176,7 +199,7 @@
                 return
             wait_s = missing / workspace.rate_per_s
             if elapsed_s() + wait_s > give_up_s:
-                raise self._exceeded(allotment, workspace, wait_s)
+                raise self._exceeded(allotment, workspace, wait_s, reserve)
             await asyncio.sleep(wait_s)
 
     @staticmethod
@@ -224,11 +247,11 @@
 
     @staticmethod
     def _exceeded(
-        allotment: _Allotment, workspace: Workspace, wait_s: float
+        allotment: _Allotment, workspace: Workspace, wait_s: float, reserve: int = 0
     ) -> RateExceeded:
         return RateExceeded(
             f"level {allotment.level:.1f} of {workspace.burst:g}, "
-            f"{allotment.waiting} waiting",
+            f"{allotment.waiting} waiting, {reserve} for programs under way",
             retry_after_s=max(MIN_RETRY_S, wait_s),
         )
 
--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -74,8 +74,9 @@
     unreported: int = 0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     give_back: asyncio.TimerHandle | None = None
-    # This VM saw the program begin, so it knows all that was granted.
-    began_here: bool = False
+    # A turn was asked for that can be the program's first: nobody else may have granted
+    # anything.
+    may_begin: bool = False
 
     def open_tokens(self) -> int:
         """Returns how many tokens the row does not show as they are."""
@@ -117,7 +118,7 @@
         budget: int,
         most: int,
         patience_s: float,
-        begins: bool = False,
+        may_begin: bool = False,
     ) -> Reservation:
         """
         Sets aside the most tokens that one turn may generate, or fewer in an outage.
@@ -127,7 +128,7 @@
         cannot tell.
         """
         ledger = self._ledger(workspace, program)
-        ledger.began_here = ledger.began_here or begins
+        ledger.may_begin = ledger.may_begin or may_begin
         give_up_s = elapsed_s() + min(patience_s, self._settle_s)
         ledger.running += 1
         try:
@@ -210,7 +211,7 @@
         """Returns what a turn may generate while the store is away, 0 if too little."""
         if not await self._may_go_on(ledger.name):
             return 0
-        if ledger.row.value is None and not ledger.began_here:
+        if ledger.row.value is None and not ledger.may_begin:
             # Others may have granted all of it.
             return 0
         granted = self._granted(ledger) + ledger.overdraft
--- a/packages/gateway/src/damasksaddle_gateway/interfaces.py
+++ b/packages/gateway/src/damasksaddle_gateway/interfaces.py
@@ -9,8 +9,8 @@
 from damasksaddle.platform import Row
 from damasksaddle_gateway.catalogue import Catalogue, Upstream, Workspace
 
-# The shared part of a first turn's prompt, and its own.
-FIRST_TURN_PARTS = 2
+# The part that a prompt shares with other programs, and the one of its own line.
+OWN_LINE_PARTS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,16 +48,17 @@
     last_event_id: str
     forwarded: CIMultiDict[str]
 
-    def begins_program(self) -> bool:
+    def may_begin_program(self) -> bool:
         """
-        Tells whether this is the first turn of its program.
+        Tells whether this can be the first turn of its program.
 
-        The prompt of a later turn contains the parts of the turns before it.
+        All turns of a program's own line have a shared part and one of their own, which
+        grows; the prompts of its sub-agents begin with both.
         """
         return (
             self.program is not None
             and self.program.budget_tokens is not None
-            and len(self.prompt_parts) <= FIRST_TURN_PARTS
+            and len(self.prompt_parts) <= OWN_LINE_PARTS
         )
 
 
--- a/packages/gateway/src/damasksaddle_gateway/rates.py
+++ b/packages/gateway/src/damasksaddle_gateway/rates.py
@@ -66,14 +66,15 @@
         self,
         workspace: Workspace,
         max_wait_s: float,
-        begins_program: bool,
+        may_begin: str,
         urgent: bool = False,
     ) -> None:
         """
         Takes one token, waiting at most `max_wait_s` for it.
 
-        A request that begins a program leaves some tokens to the programs under way:
-        one that has to stop midway has used its part of the rate for nothing. The most
+        `may_begin` names the program that this request may begin, if any. Its holder
+        knows whether it does; then it leaves some tokens to the programs under way: one
+        that has to stop midway has used its part of the rate for nothing. The most
         urgent programs leave fewer.
 
         Raises `RateExceeded` with the time until there will be one, or
@@ -82,7 +83,7 @@
         if not workspace.rate_per_s:
             return
         account = self._accounts.setdefault(workspace.name, _Account())
-        if not begins_program and account.drawn.take(1):
+        if not may_begin and account.drawn.take(1):
             account.demand.count()
             return
         lapse = lapse_s(workspace, self._settings) * (1 - HOLDER_SHARE)
@@ -94,7 +95,8 @@
                 workspace.name,
                 max(1, ahead),
                 int(min(max_wait_s, MAX_WAIT_S) * 1000),
-                self._reserve(workspace, begins_program, urgent),
+                self._reserve(workspace, urgent) if may_begin else 0,
+                may_begin,
             ),
         )
         account.demand.count()
@@ -103,9 +105,7 @@
         account.drawn.until_s = asked_s + lapse
 
     @staticmethod
-    def _reserve(workspace: Workspace, begins_program: bool, urgent: bool) -> int:
-        if not begins_program:
-            return 0
+    def _reserve(workspace: Workspace, urgent: bool) -> int:
         share = URGENT_RESERVE_SHARE if urgent else RESERVE_SHARE
         return math.ceil(workspace.burst * share)
 
@@ -130,6 +130,7 @@
             message.tokens,
             message.max_wait_ms / 1000,
             message.reserve,
+            message.program,
         )
 
     async def _on_take(self, message: TakeTokens, sender: Sender) -> TokensTaken:
--- a/packages/gateway/src/damasksaddle_gateway/turns.py
+++ b/packages/gateway/src/damasksaddle_gateway/turns.py
@@ -69,7 +69,7 @@
         most: int,
         patience_s: float,
         time_left_s: float,
-        begins: bool,
+        may_begin: bool,
     ) -> TurnReservation:
         """
         Sets tokens aside for a turn that ends within `time_left_s`.
@@ -83,7 +83,7 @@
             most,
             int(patience_s * 1000),
             int((time_left_s + LAPSE_MARGIN_S) * 1000),
-            begins,
+            may_begin,
         )
 
         async def local() -> TokensReserved:
@@ -134,7 +134,7 @@
             message.budget_tokens,
             message.most_tokens,
             message.patience_ms / 1000,
-            message.begins,
+            message.may_begin,
         )
         number = next(self._ids)
         lapse = asyncio.get_running_loop().call_later(
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -85,13 +85,15 @@
     """
     Asks for tokens of a workspace's rate, to be used by the sender soon.
 
-    `reserve` tokens have to be left in the bucket for more urgent requests.
+    If the request may begin a program, `program` names it. If it does, `reserve`
+    tokens have to be left in the bucket for programs under way.
     """
 
     workspace: str
     tokens: int
     max_wait_ms: int
     reserve: int
+    program: str = ""
 
 
 @dataclass(slots=True)
@@ -116,7 +118,7 @@
     most_tokens: int
     patience_ms: int
     lapse_ms: int
-    begins: bool = False
+    may_begin: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -202,7 +202,8 @@
   workspace @0 :Text;
   tokens @1 :UInt32;        # what the sender expects to need soon, at least 1
   maxWaitMs @2 :UInt32;
-  reserve @3 :UInt32;       # tokens that have to be left for more urgent requests
+  reserve @3 :UInt32;       # tokens to leave for programs under way, if this one begins
+  program @4 :Text;         # that this request may begin, or empty
 }
 
 struct TokensTaken {
@@ -216,7 +217,7 @@
   mostTokens @3 :UInt32;     # that this turn may generate
   patienceMs @4 :UInt32;     # how long to wait for other turns to settle
   lapseMs @5 :UInt32;        # after this time without a settlement all count as used
-  begins @6 :Bool;           # the program's first turn
+  mayBegin @6 :Bool;         # can be the program's first turn
 }
 
 struct TokensReserved {
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -24,8 +24,8 @@
     return Budgets(StoreGate(table), 1.0, may_go_on)
 
 
-async def _reserve(budgets: Budgets, patience_s: float = 0.0, begins: bool = True):
-    return await budgets.reserve("ngo", "digest", BUDGET, MOST, patience_s, begins)
+async def _reserve(budgets: Budgets, patience_s: float = 0.0, may_begin: bool = True):
+    return await budgets.reserve("ngo", "digest", BUDGET, MOST, patience_s, may_begin)
 
 
 async def test_two_vms_share_one_budget(rows: VersionedRows) -> None:
@@ -158,11 +158,11 @@
     assert [key.rpartition("|")[2] for key in rows.rows] == ["live"]
 
 
-async def _spend_in_outage(budgets: Budgets, begins: bool) -> int:
+async def _spend_in_outage(budgets: Budgets, may_begin: bool) -> int:
     spent = 0
     for _ in range(20):
         try:
-            reservation = await _reserve(budgets, begins=begins)
+            reservation = await _reserve(budgets, may_begin=may_begin)
         except (StoreUnavailable, BudgetExceeded):
             break
         used = min(70, reservation.tokens)
@@ -188,7 +188,7 @@
     budgets = Budgets(gate, 1.0, always)
     for _ in range(30):
         try:
-            reservation = await _reserve(budgets, begins=False)
+            reservation = await _reserve(budgets, may_begin=False)
         except BudgetExceeded:
             break
         budgets.settle(reservation, 70)
@@ -209,4 +209,4 @@
     table.down = True
     budgets = _budgets(table, always)
     with pytest.raises(StoreUnavailable):
-        await _reserve(budgets, begins=False)
+        await _reserve(budgets, may_begin=False)
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -71,9 +71,10 @@
     """Guards against beginning programs that then cannot be finished."""
     vm = _vm(table)
     with pytest.raises(RateExceeded):
-        for _ in range(40):
-            await vm.take(RATE, 1, 0.0, 8)
-    await vm.take(RATE, 1, 0.0, 0)
+        for number in range(40):
+            await vm.take(RATE, 1, 0.0, 8, f"p{number}")
+    await vm.take(RATE, 1, 0.0, 8, "p0")
+    await vm.take(RATE, 1, 0.0)
 
 
 async def test_refused_programs_waste_nothing(table: VersionedStandin) -> None:
@@ -82,10 +83,10 @@
     loop = asyncio.get_running_loop()
     under_way = 0
     while loop.time() < 10:
-        for _ in range(10):
+        for number in range(10):
             with suppress(RateExceeded):
                 # A VM that expects more than it uses loses the rest.
-                await vm.take(RATE, 4, 0.0, 8)
+                await vm.take(RATE, 4, 0.0, 8, f"{loop.time()}-{number}")
         try:
             await vm.take(RATE, 4, 0.0, 0)
             under_way += 1
