List small VMs to callers only when larger ones are lost

On the grown deployments four fifths of the VMs have a quarter of the processor of the others (0.516 and 2.15 cores) and got the same share of the callers. Small VMs go on as holders of rates and budgets.

--- a/packages/gateway/src/damasksaddle_gateway/roster.py
+++ b/packages/gateway/src/damasksaddle_gateway/roster.py
@@ -40,6 +40,11 @@
 FEED_WAIT_S = 5.0
 # Callers of a failure domain get only its own VMs if there are at least this many.
 MIN_LOCAL_VMS = 2
+# VMs with less than this part of the cores of the largest are not listed to callers
+# while there are so many larger ones in the failure domain. They keep rates and
+# budgets, and serve when the larger ones are lost.
+SMALL_SHARE = 0.5
+MIN_LARGE_VMS = 3
 MAX_ADDRESSES = 64
 
 
@@ -52,6 +57,7 @@
     peers: str
     failure_domain: str
     leaving: bool
+    cores: float
     version: int
     seen_s: float
     beat_version: int = 0
@@ -93,11 +99,12 @@
         alive = [m for m in self._members.values() if self._is_listed(m)]
         if not self.is_ready():
             alive = [m for m in alive if m.vm != self._settings.vm]
-        near = [m.address for m in alive if m.failure_domain == failure_domain]
+        near = [m for m in alive if m.failure_domain == failure_domain]
         if len(near) >= MIN_LOCAL_VMS:
-            return near[:MAX_ADDRESSES]
-        far = [m.address for m in alive if m.failure_domain != failure_domain]
-        return (near + far)[:MAX_ADDRESSES]
+            chosen = _larger(near)
+        else:
+            chosen = near + [m for m in alive if m not in near]
+        return [member.address for member in chosen][:MAX_ADDRESSES]
 
     def beat_s(self) -> float:
         """Returns how often each VM beats, at the present number of VMs."""
@@ -141,6 +148,7 @@
             and known.leaving == self._leaving
             and known.address == str(settings.callers)
             and known.peers == str(settings.peers)
+            and known.cores == settings.cores
         )
 
     async def _register(self) -> None:
@@ -150,6 +158,7 @@
             "peers": str(settings.peers),
             "failure_domain": settings.failure_domain,
             "leaving": self._leaving,
+            "cores": settings.cores,
         }
         await self._write(TABLE, json.dumps(value))
 
@@ -198,6 +207,7 @@
             value["peers"],
             value["failure_domain"],
             value["leaving"],
+            value["cores"],
             row.version,
             elapsed_s(),
             0 if known is None else known.beat_version,
@@ -247,5 +257,12 @@
                 log.debug("A dead VM's row stays.", vm=member.vm, error=repr(error))
 
 
+def _larger(members: list[Member]) -> list[Member]:
+    """Returns the larger VMs if there are enough of them, else all."""
+    least = SMALL_SHARE * max(member.cores for member in members)
+    larger = [member for member in members if member.cores >= least]
+    return larger if len(larger) >= MIN_LARGE_VMS else members
+
+
 def _vm(row: Row) -> str:
     return row.key.rpartition("/")[2]
--- a/packages/gateway/src/damasksaddle_gateway/settings.py
+++ b/packages/gateway/src/damasksaddle_gateway/settings.py
@@ -22,7 +22,7 @@
     `key_revocation_ms` bounds how long a withdrawn key may go on working, `drain_ms`
     how long a draining upstream may get new requests, `grace_s` how long the process
     has after a signal to stop, and `address_ttl_s` how long callers keep the addresses
-    they were given.
+    they were given. `cores` is what the VM may use of a processor.
     """
 
     vm: str
@@ -40,3 +40,4 @@
     rate_overrun: float
     rate_slack: float
     settle_ms: float
+    cores: float = 1.0
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -31,6 +31,7 @@
         "peers": f"{vm}:81",
         "failure_domain": "a",
         "leaving": False,
+        "cores": 1.0,
         **changes,
     }
     rows.apply([Put(f"vms/vms/{vm}", json.dumps(value))])
@@ -153,6 +154,24 @@
         assert "vms/vms/vm-a" in rows.rows
 
 
+async def test_small_vms_are_listed_only_when_larger_ones_are_lost(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against callers that wait for a VM with a quarter of the processor."""
+    for number in range(5):
+        _join(rows, f"large-{number}", cores=4.0)
+        _join(rows, f"small-{number}", cores=0.9)
+    async with _roster(table) as roster:
+        await asyncio.sleep(1.2)
+        listed = roster.addresses("a")
+        assert sorted(listed) == [f"large-{number}:80" for number in range(5)]
+        assert len(roster.alive()) == 11
+        for number in range(3):
+            _join(rows, f"large-{number}", cores=4.0, leaving=True)
+        await asyncio.sleep(0.1)
+        assert len(roster.addresses("a")) == 8
+
+
 class FakePeers:
     """Answers for other VMs; None stands for one that does not answer."""
 
