Prove the configuration current with each answer of the store

Cause: in an outage of the store a VM serves keyed requests until its last proof is as old as the bound on revocation allows, and that proof was only as young as the last read of the upstreams (0.67 s or 1 s apart). Reads and writes of rows tell the newest version too. Change: each of them counts, at most ten a second. The feed's own answers still prove nothing.

--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import math
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 from damasksaddle.exceptions import AnswerLost, TableUnavailable
@@ -81,6 +81,8 @@
         self._answered_s = -math.inf
         self._write_s = USUAL_WRITE_S
         self.clock = StoreClock()
+        # Gets each answer that tells the newest version, and when it was asked for.
+        self.on_version: Callable[[float, Page], None] = lambda sent_s, page: None
         # Set while the store is away.
         self.closed = asyncio.Event()
 
@@ -117,17 +119,22 @@
         taken_s = elapsed_s() - began_s
         measure(Timing.STORE, taken_s * 1000)
         self._write_s += WRITE_SMOOTHING * (taken_s - self._write_s)
-        return self._heard(page)
+        return self._heard(began_s, page)
 
     async def page(self, prefix: str, after: str = "", limit: int = 500) -> Page:
-        return self._heard(await self._watch(self._table.page(prefix, after, limit)))
+        sent_s = elapsed_s()
+        page = await self._watch(self._table.page(prefix, after, limit))
+        return self._heard(sent_s, page)
 
     async def changes(self, table: str, after_version: int, wait_s: float) -> Page:
-        waiting = self._table.changes(table, after_version, wait_s)
-        return self._heard(await self._watch(waiting))
+        page = await self._watch(self._table.changes(table, after_version, wait_s))
+        # A feed may fall behind, so its version need not be the newest.
+        self.clock.hear(page.now_ms)
+        return page
 
-    def _heard(self, page: Page) -> Page:
+    def _heard(self, sent_s: float, page: Page) -> Page:
         self.clock.hear(page.now_ms)
+        self.on_version(sent_s, page)
         return page
 
     def _check(self) -> None:
--- a/packages/gateway/src/damasksaddle_gateway/view.py
+++ b/packages/gateway/src/damasksaddle_gateway/view.py
@@ -7,9 +7,9 @@
 
 A view knows when it was last proved current, on a clock that goes on while the VM is
 suspended. An answer of the feed alone proves nothing, because a feed may fall behind in
-silence. But each read of the upstreams tells the store's newest version at that moment:
-once the feed has told all changes up to that version, the configuration was current
-then.
+silence. But each read of rows and each write tells the store's newest version at that
+moment: once the feed has told all changes up to that version, the configuration was
+current then.
 """
 
 import asyncio
@@ -30,6 +30,10 @@
 
 # How long one read of the feed waits for a change. It bounds the age of the proof.
 FEED_WAIT_S = 0.5
+# Versions are noted so often at most, and kept until the feed has told them: those of
+# the longest time for which a view counts as current.
+NOTE_STEP_S = 0.1
+NOTED_VERSIONS = 64
 # How often the upstreams are read: a third of the time in which a draining upstream
 # has to be left alone, so that one read may fail.
 UPSTREAM_POLL_SHARE = 1 / 3
@@ -60,7 +64,8 @@
         )
         self._config_proved_s = -math.inf
         # When a version was the newest one, for versions that the feed has not reached.
-        self._newest: deque[tuple[float, int]] = deque(maxlen=64)
+        self._newest: deque[tuple[float, int]] = deque(maxlen=NOTED_VERSIONS)
+        table.on_version = self._note_version
         self._upstreams_proved_s = -math.inf
         self._outage_ended_s = -math.inf
 
@@ -86,7 +91,7 @@
 
     def _on_whole(self, page: Page, sent_s: float) -> None:
         self._apply(page.rows)
-        self._note_version(sent_s, page)
+        self._prove()
 
     def _on_changes(self, page: Page) -> None:
         self._apply(page.rows)
@@ -95,6 +100,8 @@
     def _note_version(self, sent_s: float, page: Page) -> None:
         """Books which version was the newest when a page was read."""
         made_s = self._table.clock.made_s(sent_s, elapsed_s(), page.now_ms)
+        if self._newest and made_s - self._newest[-1][0] < NOTE_STEP_S:
+            return
         self._newest.append((made_s, page.version))
         self._prove()
 
@@ -134,7 +141,6 @@
         sent_s = elapsed_s()
         prefix = row_key(self._decoder.upstream_table, "", "")
         page = await self._table.page(prefix)
-        self._note_version(sent_s, page)
         rows = list(page.rows)
         while not page.complete:
             page = await self._table.page(prefix, after=page.rows[-1].key)
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -10,7 +10,7 @@
 from damasksaddle.platform import Put, Row
 from damasksaddle_gateway.catalogue import Catalogue, Upstream
 from damasksaddle_gateway.store import StoreGate
-from damasksaddle_gateway.view import View
+from damasksaddle_gateway.view import FEED_WAIT_S, View
 from damasksaddle_standins.versioned import VersionedRows, VersionedStandin
 
 pytestmark = pytest.mark.looptime
@@ -134,3 +134,20 @@
         beat(rows, "u2")
         await asyncio.sleep(2.5)
         assert {u.id for u in view.of_service("llm")} == {"u2"}
+
+
+async def test_each_answer_of_the_store_keeps_the_proof_young(
+    rows: VersionedRows, table: VersionedStandin
+) -> None:
+    """Guards against an outage that begins with a proof which is older than it must."""
+    set_version(rows, 1)
+    gate = StoreGate(table)
+    # Upstreams are read once in 20 s.
+    async with View(gate, PlainDecoder(), drain_ms=60_000.0) as view:
+        ages_s = []
+        for number in range(100):
+            await gate.commit([Put("rates//bucket", str(number))])
+            await asyncio.sleep(0.05)
+            ages_s.append(view.config_age_s())
+        # One read of the feed, and what lies between two notes.
+        assert max(ages_s[20:]) < FEED_WAIT_S + 0.15
