Let turns at once wait for each other's tokens also without the store

Their sub-agents run at once and each reserves the most that it may generate, 288 tokens, and uses about 72; the one that came next was refused at once instead of waiting for a settlement, as it does while the store answers. Change: it waits for its patience if turns of its program are under way. The bound of one turn beyond the row stays. The test failed first.

--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -68,6 +68,8 @@
     name: str
     row: CachedRow
     held: int = 0
+    # Turns under way that have a reservation.
+    turns: int = 0
     # Granted without the store, and not yet in the row.
     overdraft: int = 0
     running: int = 0
@@ -132,7 +134,9 @@
         give_up_s = elapsed_s() + min(patience_s, self._settle_s)
         ledger.running += 1
         try:
-            while not (tokens := await self._try_reserve(ledger, budget, most)):
+            while not (
+                tokens := await self._try_or_wait(ledger, budget, most, give_up_s)
+            ):
                 spent = self._spent(ledger)
                 if spent + most > budget or elapsed_s() >= give_up_s:
                     log.info(
@@ -148,13 +152,28 @@
         except BaseException:
             self._ended(ledger)
             raise
+        ledger.turns += 1
         return Reservation(ledger, program, tokens)
 
+    async def _try_or_wait(
+        self, ledger: Ledger, budget: int, most: int, give_up_s: float
+    ) -> int:
+        """Returns how many tokens were set aside, 0 if there are too few."""
+        while True:
+            try:
+                return await self._try_reserve(ledger, budget, most)
+            except StoreUnavailable:
+                # Without the store, only turns under way can leave tokens.
+                if not ledger.turns or elapsed_s() >= give_up_s:
+                    raise
+            await asyncio.sleep(SETTLE_POLL_S)
+
     def settle(self, reservation: Reservation, used: int) -> None:
         """Books what a turn used, and frees the rest of its reservation."""
         ledger = reservation.ledger
         ledger.held += reservation.tokens - used
         ledger.unreported += used
+        ledger.turns -= 1
         self._ended(ledger)
 
     def _ended(self, ledger: Ledger) -> None:
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -210,3 +210,31 @@
     budgets = _budgets(table, always)
     with pytest.raises(StoreUnavailable):
         await _reserve(budgets, may_begin=False)
+
+
+async def test_turns_at_once_wait_for_each_other_without_the_store(
+    table: VersionedStandin,
+) -> None:
+    """
+    Guards against sub-agents that are refused although their program has tokens.
+
+    Seen in incident inc-e9a6 on grantwatch-lv: turns that run at once each reserve the
+    most that they may generate, and use a quarter of it.
+    """
+    budgets = _budgets(table, always)
+    first = await _reserve(budgets)
+    table.down = True
+    second = await _reserve(budgets)
+
+    async def end_turns() -> None:
+        await asyncio.sleep(0.3)
+        budgets.settle(first, 9)
+        budgets.settle(second, 9)
+
+    ended = asyncio.create_task(end_turns())
+    third = await _reserve(budgets, patience_s=0.9)
+    assert third.tokens >= 0.4 * MOST
+    await ended
+    with pytest.raises(StoreUnavailable):
+        for _ in range(9):
+            await _reserve(budgets)
