--- a/packages/standins/src/damasksaddle_standins/__main__.py
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import sys
-from contextlib import closing
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +33,11 @@
     await asyncio.Event().wait()
 
 
+def _paused_loop() -> asyncio.AbstractEventLoop:
+    """Returns a loop whose clock is advanced instead of waited for."""
+    return looptime.new_event_loop(start=0)
+
+
 @click.group(context_settings={"auto_envvar_prefix": "STANDIN"})
 def main() -> None:
     """Stand-ins for what lies outside of damasksaddle. For development only."""
@@ -138,9 +142,10 @@
 def soak(seed: int, minutes: float) -> None:
     """Runs programs under random faults and checks invariants at the end."""
     seed_ids(seed)
-    loop = looptime.new_event_loop(start=0)
-    with closing(loop):
-        report = loop.run_until_complete(run_soak(seed, minutes))
+    # The runner ends the tasks of killed nodes before it closes the loop, so that what
+    # is still printed comes from a real error in one of them.
+    with asyncio.Runner(loop_factory=_paused_loop) as runner:
+        report = runner.run(run_soak(seed, minutes))
     click.echo(json.dumps(report.as_dict(), indent=2))
     sys.exit(1 if report.broken else 0)
 
--- a/packages/standins/src/damasksaddle_standins/faults/upstreams.py
+++ b/packages/standins/src/damasksaddle_standins/faults/upstreams.py
@@ -130,6 +130,9 @@
         try:
             async with self._slots:
                 return await self._run(request, request_id)
+        except ConnectionResetError:
+            # The gateway has left; nobody reads this answer.
+            return web.Response(status=503)
         finally:
             self.active -= 1
 
