--- a/packages/gateway/src/damasksaddle_gateway/feeds.py
+++ b/packages/gateway/src/damasksaddle_gateway/feeds.py
@@ -14,6 +14,16 @@
 RETRY_S = 0.25
 
 
+async def read_all(table: VersionedTable, prefix: str) -> Page:
+    """Reads the rows with a prefix, page by page; the version is that of the first."""
+    page = first = await table.page(prefix)
+    rows = list(first.rows)
+    while not page.complete:
+        page = await table.page(prefix, after=page.rows[-1].key)
+        rows += page.rows
+    return Page(rows, first.version, first.now_ms)
+
+
 @dataclass(slots=True)
 class TableFeed:
     """
@@ -47,15 +57,10 @@
 
     async def _read_whole(self) -> None:
         sent_s = elapsed_s()
-        prefix = row_key(self.name, self.part, "")
-        page = await self.table.page(prefix)
-        version, rows = page.version, list(page.rows)
-        while not page.complete:
-            page = await self.table.page(prefix, after=page.rows[-1].key)
-            rows += page.rows
+        page = await read_all(self.table, row_key(self.name, self.part, ""))
         # What changed while later pages were read is told again as a change.
-        self.version = version
-        self.on_whole(Page(rows, version, page.now_ms), sent_s)
+        self.version = page.version
+        self.on_whole(page, sent_s)
 
     async def _read_changes(self) -> None:
         page = await self.table.changes(self.name, self.version, self.wait_s)
--- a/packages/gateway/src/damasksaddle_gateway/front.py
+++ b/packages/gateway/src/damasksaddle_gateway/front.py
@@ -161,7 +161,7 @@
             request=facts.request_id,
             program=facts.program.id if facts.program else "",
             workspace=workspace.name if workspace else "",
-            may_begin=facts.may_begin_program(),
+            may_begin=bool(facts.may_begin()),
             code=error.code,
             status=error.status,
             not_run=error.not_run,
@@ -215,7 +215,7 @@
             await self._rates.acquire(
                 workspace,
                 time_ms / 1000 * RATE_PATIENCE_SHARE,
-                facts.program.id if facts.program and facts.may_begin_program() else "",
+                facts.may_begin(),
                 route.priority == catalogue.most_urgent_priority(),
             )
             measure(Timing.RATE_WAIT, (elapsed_s() - began_s) * 1000)
@@ -272,7 +272,7 @@
             most,
             call.time_left_s() * BUDGET_PATIENCE_SHARE,
             call.time_left_s(),
-            call.facts.may_begin_program(),
+            bool(call.facts.may_begin()),
         )
         measure(Timing.BUDGET_WAIT, (elapsed_s() - began_s) * 1000)
 
--- a/packages/gateway/src/damasksaddle_gateway/interfaces.py
+++ b/packages/gateway/src/damasksaddle_gateway/interfaces.py
@@ -48,18 +48,17 @@
     last_event_id: str
     forwarded: CIMultiDict[str]
 
-    def may_begin_program(self) -> bool:
+    def may_begin(self) -> str:
         """
-        Tells whether this can be the first turn of its program.
+        Returns the program whose first turn this can be, or an empty text.
 
         All turns of a program's own line have a shared part and one of their own, which
         grows; the prompts of its sub-agents begin with both.
         """
-        return (
-            self.program is not None
-            and self.program.budget_tokens is not None
-            and len(self.prompt_parts) <= OWN_LINE_PARTS
-        )
+        program = self.program
+        if program is None or program.budget_tokens is None:
+            return ""
+        return program.id if len(self.prompt_parts) <= OWN_LINE_PARTS else ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/damasksaddle_gateway/roster.py
+++ b/packages/gateway/src/damasksaddle_gateway/roster.py
@@ -18,7 +18,7 @@
 from damasksaddle.exceptions import PlatformError
 from damasksaddle.platform import Page, Put, Row, VersionedTable, row_key
 from damasksaddle.utils import elapsed_s, get_log, rendezvous
-from damasksaddle_gateway.feeds import TableFeed
+from damasksaddle_gateway.feeds import TableFeed, read_all
 from damasksaddle_gateway.settings import GatewaySettings
 
 log = get_log("roster")
@@ -215,13 +215,8 @@
 
     async def _read_beats(self) -> None:
         sent_s = elapsed_s()
-        prefix = row_key(BEATS_TABLE, PART, "")
         try:
-            page = await self._table.page(prefix)
-            rows = list(page.rows)
-            while not page.complete:
-                page = await self._table.page(prefix, after=page.rows[-1].key)
-                rows += page.rows
+            page = await read_all(self._table, row_key(BEATS_TABLE, PART, ""))
         except PlatformError as error:
             log.debug("The beats were not read.", error=repr(error))
             return
@@ -230,7 +225,7 @@
             for member in self._members.values():
                 member.seen_s = sent_s
         self._read_s = sent_s
-        self._note_beats(rows, sent_s)
+        self._note_beats(page.rows, sent_s)
         await self._remove_dead(sent_s)
 
     def _note_beats(self, rows: list[Row], now_s: float) -> None:
--- a/packages/gateway/src/damasksaddle_gateway/view.py
+++ b/packages/gateway/src/damasksaddle_gateway/view.py
@@ -22,7 +22,7 @@
 from damasksaddle.platform import Page, Row, row_key
 from damasksaddle.utils import elapsed_s, get_log
 from damasksaddle_gateway.catalogue import Catalogue, Upstream
-from damasksaddle_gateway.feeds import RETRY_S, TableFeed
+from damasksaddle_gateway.feeds import RETRY_S, TableFeed, read_all
 from damasksaddle_gateway.interfaces import Decoder
 from damasksaddle_gateway.store import StoreGate
 
@@ -140,15 +140,11 @@
     async def _read_upstreams(self) -> None:
         sent_s = elapsed_s()
         prefix = row_key(self._decoder.upstream_table, "", "")
-        page = await self._table.page(prefix)
-        rows = list(page.rows)
-        while not page.complete:
-            page = await self._table.page(prefix, after=page.rows[-1].key)
-            rows += page.rows
+        page = await read_all(self._table, prefix)
         if sent_s - self._upstreams_proved_s > OUTAGE_S:
             self._outage_ended_s = sent_s
         self._upstreams_proved_s = sent_s
-        self._replace(rows, sent_s)
+        self._replace(page.rows, sent_s)
 
     def _replace(self, rows: list[Row], now_s: float) -> None:
         listed = {}
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -36,7 +36,7 @@
     assert facts.program.budget_tokens == 2304
     assert (facts.prompt_tokens, facts.max_output_tokens) == (1840, 288)
     assert facts.prompt_parts == (("5c1e", 800), ("91bd", 410))
-    assert facts.may_begin_program()
+    assert facts.may_begin() == facts.program.id
     headers = WIRE.upstream_headers(
         facts, UPSTREAM, Workspace("ngo"), 1234.5, "14", priority=12
     )
