Keep a connection to a peer on which others are answered

Cause: each request that a peer did not answer in time closed the connection to it, so that everything under way on it failed too. Now it is closed only if nothing was heard on it for the request's time.

--- a/packages/gateway/src/damasksaddle_gateway/peers.py
+++ b/packages/gateway/src/damasksaddle_gateway/peers.py
@@ -60,8 +60,9 @@
         try:
             return await self._pool.request(vm, message, timeout_s)
         except PeerTimeout:
-            # A connection may have gone silent for good while new ones work.
-            self._pool.forget(vm)
+            # A connection may have gone silent for good while new ones work. One that
+            # answers others is kept: closing it would fail what is under way on it.
+            self._pool.forget_silent(vm, timeout_s)
             raise
 
     @Service.task
--- a/packages/gateway/src/damasksaddle_gateway/roster.py
+++ b/packages/gateway/src/damasksaddle_gateway/roster.py
@@ -29,9 +29,9 @@
 PART = "vms"
 # How often a VM beats and reads the beats of the others.
 BEAT_S = 1.0
-# All VMs together beat at most this often: a quarter of what one part of the store
-# takes, and 50 rows of 90 bytes a second for each VM to read.
-BEATS_PER_S = 50.0
+# All VMs together beat at most this often: half of what one part of the store takes,
+# and 100 rows of 90 bytes a second for each VM to read.
+BEATS_PER_S = 100.0
 # A VM is listed while its counter changed within so many beats: two may fail.
 DEAD_AFTER_BEATS = 2.6
 # Rows of VMs that were dead for so long are removed.
--- a/packages/node/src/damasksaddle_node/peers/pool.py
+++ b/packages/node/src/damasksaddle_node/peers/pool.py
@@ -41,12 +41,14 @@
         self._next_id = 0
         self._waiting: dict[int, asyncio.Queue[object]] = {}
         self.closed = False
+        self.heard_s = asyncio.get_running_loop().time()
         self._task = asyncio.create_task(self._read())
 
     async def _read(self) -> None:
         try:
             while True:
                 frame = await read_frame(self._reader)
+                self.heard_s = asyncio.get_running_loop().time()
                 queue = self._waiting.get(frame.request_id)
                 if queue is not None:
                     queue.put_nowait(frame.message)
@@ -210,6 +212,14 @@
         if connection is not None:
             connection.close()
 
+    def forget_silent(self, vm_id: str, silent_s: float) -> None:
+        """Closes the connection to a VM that sent nothing for some time."""
+        connection = self._connections.get(vm_id)
+        if connection is None:
+            return
+        if asyncio.get_running_loop().time() - connection.heard_s >= silent_s:
+            self.forget(vm_id)
+
     def keep_only(self, members: Container[str]) -> None:
         """
         Closes connections to VMs that are no longer members.
