--- a/packages/standins/src/damasksaddle_standins/faults/schedule.py
+++ b/packages/standins/src/damasksaddle_standins/faults/schedule.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 
@@ -12,7 +12,7 @@
 from damasksaddle_standins.faults.operator import Operator
 from damasksaddle_standins.faults.promises import GRACE_S, Promises
 from damasksaddle_standins.faults.proxy import Way
-from damasksaddle_standins.faults.upstreams import Pool, Trouble
+from damasksaddle_standins.faults.upstreams import Pool, Trouble, Upstream
 
 # The mean time between two faults; they last up to several times as long.
 MEAN_GAP_S = 1.2
@@ -62,7 +62,7 @@
         return self.random.choice(self.fleet.vms)
 
 
-Fault = Callable[[World], Awaitable[None]]
+Fault = Callable[[World], Coroutine[None, None, None]]
 
 
 @contextmanager
@@ -229,14 +229,14 @@
         other = "desk" if upstream.service == "llm" else "llm"
         await world.pool.add(other, port)
         await world.pool.add(upstream.service)
-        surplus = [u for u in world.pool.running if u.service == other]
-        await _leave(world, surplus[0])
+        await _leave(world, next(u for u in world.pool.running if u.service == other))
 
 
-async def _leave(world: World, upstream: object) -> None:
-    for found in [u for u in world.pool.running if u is upstream]:
-        world.pool.running.remove(found)
-        await found.leave()
+async def _leave(world: World, upstream: Upstream) -> None:
+    # Another fault may have ended it meanwhile.
+    if upstream in world.pool.running:
+        world.pool.running.remove(upstream)
+        await upstream.leave()
 
 
 async def release_upstream(world: World) -> None:
@@ -298,7 +298,12 @@
 
 
 async def play(world: World, time_s: float) -> None:
-    """Lets faults of a few kinds come for some time, and waits for their end."""
+    """
+    Lets faults of a few kinds come for some time, and waits for their end.
+
+    Each seed draws its own kinds, so that some runs have only planned work and others
+    many faults at once.
+    """
     count = world.random.randint(FEWEST_KINDS, MOST_KINDS)
     kinds = world.random.sample(FAULTS, count)
     world.note("kinds", None, ", ".join(kind.__name__ for kind in kinds))
@@ -306,8 +311,4 @@
     async with asyncio.TaskGroup() as faults:
         while elapsed_s() < ends_s:
             await asyncio.sleep(world.random.expovariate(1 / MEAN_GAP_S))
-            faults.create_task(_run(world.random.choice(kinds), world))
-
-
-async def _run(fault: Fault, world: World) -> None:
-    await fault(world)
+            faults.create_task(world.random.choice(kinds)(world))
