--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -90,6 +90,11 @@
         return self.held + self.unreported + self.overdraft
 
 
+def _totals(value: dict[str, Any] | None) -> tuple[int, int]:
+    """Returns the tokens that a row shows as granted and as spent."""
+    return (value["granted"], value["spent"]) if value else (0, 0)
+
+
 @dataclass(slots=True)
 class Reservation:
     """Tokens set aside for one turn."""
@@ -140,9 +145,23 @@
         give_up_s = elapsed_s() + min(patience_s, self._settle_s)
         ledger.running += 1
         try:
-            while not (
-                tokens := await self._try_or_wait(ledger, budget, most, give_up_s)
-            ):
+            tokens = await self._reserve_or_wait(
+                ledger, program, budget, most, give_up_s
+            )
+        except BaseException:
+            self._ended(ledger)
+            raise
+        ledger.turns += 1
+        return Reservation(ledger, program, tokens)
+
+    async def _reserve_or_wait(
+        self, ledger: Ledger, program: str, budget: int, most: int, give_up_s: float
+    ) -> int:
+        """Returns how many tokens were set aside, waiting for turns to settle."""
+        while True:
+            try:
+                if tokens := await self._try_reserve(ledger, budget, most):
+                    return tokens
                 spent = self._spent(ledger)
                 if spent + most > budget or elapsed_s() >= give_up_s:
                     log.info(
@@ -154,20 +173,6 @@
                         most=most,
                     )
                     raise BudgetExceeded
-                await asyncio.sleep(SETTLE_POLL_S)
-        except BaseException:
-            self._ended(ledger)
-            raise
-        ledger.turns += 1
-        return Reservation(ledger, program, tokens)
-
-    async def _try_or_wait(
-        self, ledger: Ledger, budget: int, most: int, give_up_s: float
-    ) -> int:
-        """Returns how many tokens were set aside, 0 if there are too few."""
-        while True:
-            try:
-                return await self._try_reserve(ledger, budget, most)
             except StoreUnavailable:
                 # Without the store, only turns under way can leave tokens.
                 if not ledger.turns or elapsed_s() >= give_up_s:
@@ -209,12 +214,11 @@
 
     @staticmethod
     def _granted(ledger: Ledger) -> int:
-        return ledger.row.value["granted"] if ledger.row.value else 0
+        return _totals(ledger.row.value)[0]
 
     @staticmethod
     def _spent(ledger: Ledger) -> int:
-        reported = ledger.row.value["spent"] if ledger.row.value else 0
-        return reported + ledger.unreported
+        return _totals(ledger.row.value)[1] + ledger.unreported
 
     async def _try_reserve(self, ledger: Ledger, budget: int, most: int) -> int:
         """Returns how many tokens were set aside, 0 if there are too few."""
@@ -273,8 +277,7 @@
 
         def take(value: dict[str, Any] | None) -> dict[str, Any] | None:
             nonlocal asked
-            granted = value["granted"] if value else 0
-            spent = value["spent"] if value else 0
+            granted, spent = _totals(value)
             ample = int(budget * AMPLE_SHARE) - granted - overdraft
             asked = most - ledger.held
             if ample >= 2 * most:
@@ -334,7 +337,7 @@
             unreported, overdraft = ledger.unreported, ledger.overdraft
 
             def give(value: dict[str, Any] | None) -> dict[str, Any] | None:
-                granted, spent = (value["granted"], value["spent"]) if value else (0, 0)
+                granted, spent = _totals(value)
                 return {
                     "granted": granted + overdraft - unused,
                     "spent": spent + unreported,
