Unpack frames before the C++ library reads them, and name the program in TakeTokens

Cause: after a field was added to TakeTokens, test_decoding_corrupted_frames killed its worker in 5 of 5 runs: 'terminate called after throwing kj::ExceptionImpl, Premature EOF'. The library's stream reader skips the rest of a malformed message in its destructor and aborts the process when that fails. Anyone who can connect to the peer port could end a VM with one truncated Hello. Change: packed bytes are unpacked in Python with a bound and read from memory, where errors are exceptions. TakeTokens carries the program of every request and the time until it should end. Ruled out: the paused clock, the machine's memory (one process was killed for it at 15:33, none at the crashes), the order of tests.

--- a/packages/protocol/src/damasksaddle_protocol/codec.py
+++ b/packages/protocol/src/damasksaddle_protocol/codec.py
@@ -9,6 +9,7 @@
 
 from damasksaddle.exceptions import ProtocolViolation
 from damasksaddle_protocol.messages import Frame, Message
+from damasksaddle_protocol.packing import unpack
 
 _schema: Any = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 # Cached, because a lookup in the schema costs as much as reading a field.
@@ -77,23 +78,27 @@
 def decode(data: bytes) -> Frame:
     """Decodes a frame from packed bytes; raises `ProtocolViolation` if malformed."""
     try:
-        reader = _frame_schema.from_bytes_packed(
-            data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
-        )
-        union_member = reader.which()
-        message_type = _MESSAGE_TYPES[union_member]
-        body = getattr(reader, union_member)
-        values = [
-            _to_python(getattr(body, wire_name))
-            for _, wire_name in _FIELD_NAMES[message_type]
-        ]
-        return Frame(
-            reader.requestId, message_type(*values), reader.epoch, reader.deadlineMs
-        )
+        with _frame_schema.from_bytes(
+            unpack(data), traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ) as reader:
+            return _frame_from(reader)
     except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as error:
         reason = str(error).partition("\n")[0]
         raise ProtocolViolation(f"cannot decode a frame: {reason}") from error
 
 
+def _frame_from(reader: Any) -> Frame:
+    union_member = reader.which()
+    message_type = _MESSAGE_TYPES[union_member]
+    body = getattr(reader, union_member)
+    values = [
+        _to_python(getattr(body, wire_name))
+        for _, wire_name in _FIELD_NAMES[message_type]
+    ]
+    return Frame(
+        reader.requestId, message_type(*values), reader.epoch, reader.deadlineMs
+    )
+
+
 def _to_python(value: Any) -> Any:
     return value if type(value) in _SCALAR_TYPES else [str(item) for item in value]
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -85,8 +85,9 @@
     """
     Requests rate tokens of a workspace, which the sender expects to use soon.
 
-    `program` is set if the caller's request may be the first of that program. If it
-    is, `reserve` tokens must remain in the bucket for running programs.
+    `reserve` is set if the request may be the first of `program`. If it is, so many
+    tokens must remain in the bucket for running programs. `program_time_left_ms` is the
+    time until the program should end, or 0 if it is unknown.
     """
 
     workspace: str
@@ -94,6 +95,7 @@
     max_wait_ms: int
     reserve: int
     program: str = ""
+    program_time_left_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -203,7 +203,8 @@
   tokens @1 :UInt32;        # number that the sender expects to need soon, at least 1
   maxWaitMs @2 :UInt32;
   reserve @3 :UInt32;       # tokens to leave for running programs if this starts a new one
-  program @4 :Text;         # program that this request may start, or empty
+  program @4 :Text;         # program of this request, or empty
+  programTimeLeftMs @5 :UInt32;  # until the program should end; 0 if it is not known
 }
 
 struct TokensTaken {
--- a/tests/protocol/test_frames.py
+++ b/tests/protocol/test_frames.py
@@ -6,6 +6,7 @@
 import struct
 import typing
 
+import pytest
 from hypothesis import HealthCheck, given, seed, settings
 from hypothesis import strategies as st
 
@@ -134,3 +135,17 @@
             assert asyncio.run(read_from(data)).request_id == 1 or data is not valid
         except (ProtocolViolation, asyncio.IncompleteReadError):
             continue
+
+
+def test_a_truncated_frame_does_not_end_the_process():
+    """
+    Guards against the C++ reader, which aborts the process in its destructor.
+
+    Anyone who could connect to a VM could end it with such a first frame.
+    """
+    frame = "010b50030101010000101a500202310390013102881311053211053a1f6e"
+    with pytest.raises(ProtocolViolation):
+        decode(bytes.fromhex(frame))
+    valid = encode(Frame(1, Append(1, "vm", ["a", "b"], 1)))
+    for size in range(len(valid)):
+        decode_or_reject(valid[:size])
