Serve a workspace's requests in the order of their programs' deadlines

Tokens that a coordinator drew ahead were dropped when they expired, although the row could take them back: a workspace with one request at a time lost a token with nearly every request. A request waited 0.4 s at most and was then told to come back, while others took its token. Change: expired tokens go back to the row with the next draw. Requests wait in a queue (running programs first, earliest deadline first, then programs that start, which leave a reserve) for 0.4 of their time; a coordinator holds one for 0.4 s at a time, so that a VM that does not respond is still noticed, and the order does not depend on arrival. Who cannot be served in time is refused at once. Counters say where tokens go: drawn, granted, used, returned, expired. Ruled out: a longer hold in one message (a frozen coordinator would cost that long).

--- a/packages/core/src/damasksaddle/utils/metrics.py
+++ b/packages/core/src/damasksaddle/utils/metrics.py
@@ -31,8 +31,10 @@
     MEMBER_REMOVALS = "removals"
     UPSTREAM_ATTEMPTS = "tries"
     STORE_OUTAGES = "store.lost"
+    STORE_SLOWDOWNS = "store.slow"
     INTERRUPTED_RESPONSES = "answers.broken"
     CALLER_DISCONNECTS = "callers.left"
+    RATE_TOKENS = "rate.tokens"
 
 
 class Timing(StrEnum):
@@ -61,10 +63,15 @@
     Counter.MEMBER_REMOVALS: "members that this VM removed after their lease ran out",
     Counter.UPSTREAM_ATTEMPTS: "requests sent to an upstream, by their outcome",
     Counter.STORE_OUTAGES: "times that the store stopped answering",
+    Counter.STORE_SLOWDOWNS: "times that the store's writes became slow",
     Counter.INTERRUPTED_RESPONSES: "answers that were broken off midway, by reason",
     Counter.CALLER_DISCONNECTS: (
         "callers that closed their connection before the answer"
     ),
+    Counter.RATE_TOKENS: (
+        "tokens of workspaces' rates: drawn from the store, returned to it unused, "
+        "granted to VMs, used and expired there"
+    ),
     Timing.RATE_WAIT: "wait for the workspace's rate",
     Timing.QUEUE_WAIT: "wait in the queue of a pool",
     Timing.FIRST_TOKEN: "from a call's start at its owner to its first token",
--- a/packages/gateway/src/damasksaddle_gateway/rate_limiter.py
+++ b/packages/gateway/src/damasksaddle_gateway/rate_limiter.py
@@ -7,14 +7,17 @@
 """
 
 import math
+from dataclasses import replace
 
 from damasksaddle.exceptions import RateExceeded
-from damasksaddle.utils import boottime_s
+from damasksaddle.utils import Counter, boottime_s, count
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.coordinators import Coordinators
+from damasksaddle_gateway.interfaces import RequestMetadata
 from damasksaddle_gateway.routing_config import Workspace
 from damasksaddle_gateway.settings import GatewaySettings
 from damasksaddle_gateway.token_buckets import (
+    ASK_AGAIN_S,
     COORDINATOR_SHARE,
     PREFETCH_SHARE,
     ExpiringTokens,
@@ -25,9 +28,10 @@
 from damasksaddle_node.peers import Handlers, Sender
 from damasksaddle_protocol import TakeTokens, TokensTaken
 
-# Maximum time that a request waits for a token before it is refused. It is shorter than
-# the delay after which a caller would retry.
-MAX_RATE_WAIT_S = 0.4
+# Longest time that a coordinator holds a request before it responds, so that a VM which
+# does not respond is noticed soon. A request that may wait longer is sent again and
+# keeps its place, because the order does not depend on its arrival.
+MAX_HOLD_S = 0.4
 # Share of the burst that a request which starts a program leaves to running programs:
 # enough for their next calls, which are a few hundred milliseconds apart.
 RESERVE_SHARE = 0.3
@@ -66,16 +70,16 @@
         self,
         workspace: Workspace,
         max_wait_s: float,
-        startable_program: str,
+        metadata: RequestMetadata,
         urgent: bool = False,
     ) -> None:
         """
-        Takes one token, waiting up to `max_wait_s` for it.
+        Takes one token, waiting up to `max_wait_s` for it, or longer if the store is
+        slow.
 
-        `startable_program` names the program that this request may start, if any. The
-        coordinator knows whether it does; a request that starts a program has to leave
-        some tokens to running programs, because a program that is stopped midway has
-        wasted its share of the rate. The most urgent programs leave fewer tokens.
+        The coordinator knows whether a request starts a program; one that does has to
+        leave some tokens to running programs, because a program that is stopped midway
+        has wasted its share of the rate. The most urgent programs leave fewer tokens.
 
         Raises `RateExceeded` with the time until a token is available, or
         `StoreUnavailable` if the rate cannot be checked.
@@ -83,28 +87,32 @@
         if not workspace.rate_per_s:
             return
         local_tokens = self._local_tokens.setdefault(workspace.name, _LocalTokens())
-        if not startable_program and local_tokens.available.take(1):
+        startable = bool(metadata.startable_program_id())
+        if not startable and local_tokens.available.take(1):
             local_tokens.demand.record()
+            count(Counter.RATE_TOKENS, "used")
             return
         lifetime_s = token_lifetime_s(workspace, self._settings) * (
             1 - COORDINATOR_SHARE
         )
         prefetch = math.floor(local_tokens.demand.per_s() * lifetime_s * PREFETCH_SHARE)
-        requested_s = boottime_s()
-        taken = await self._request_tokens(
-            workspace,
-            TakeTokens(
-                workspace.name,
-                max(1, prefetch),
-                int(min(max_wait_s, MAX_RATE_WAIT_S) * 1000),
-                self._reserve(workspace, urgent) if startable_program else 0,
-                startable_program,
-            ),
+        program = metadata.program
+        message = TakeTokens(
+            workspace.name,
+            max(1, prefetch),
+            0,
+            self._reserve(workspace, urgent) if startable else 0,
+            program.id if program else "",
+            max(0, int(program.time_left_ms or 0)) if program else 0,
         )
+        max_wait_s += min(max_wait_s, self._token_buckets.store_delay_s())
+        requested_s, taken = await self._request_tokens(workspace, message, max_wait_s)
         local_tokens.demand.record()
         remaining = local_tokens.available.take(
             math.ceil(local_tokens.available.tokens)
         )
+        count(Counter.RATE_TOKENS, "used")
+        count(Counter.RATE_TOKENS, "expired", int(local_tokens.available.remove_all()))
         local_tokens.available.tokens = remaining + taken - 1
         local_tokens.available.expires_s = requested_s + lifetime_s
 
@@ -119,24 +127,40 @@
         if local_tokens is not None and boottime_s() < local_tokens.available.expires_s:
             local_tokens.available.tokens += 1
 
-    async def _request_tokens(self, workspace: Workspace, message: TakeTokens) -> int:
+    async def _request_tokens(
+        self, workspace: Workspace, message: TakeTokens, max_wait_s: float
+    ) -> tuple[float, int]:
+        """Returns when the granted tokens were requested, and their number."""
+
         async def take_locally() -> TokensTaken:
             return TokensTaken(await self._take_locally(workspace, message))
 
-        wait_s = message.max_wait_ms / 1000
-        _, response = await self._coordinators.request(
-            workspace.name, message, take_locally, wait_s
-        )
-        assert isinstance(response, TokensTaken)
-        return response.tokens
+        wait_until_s = boottime_s() + max_wait_s
+        while True:
+            requested_s = boottime_s()
+            wait_s = max(0.0, wait_until_s - requested_s)
+            message = replace(message, max_wait_ms=int(wait_s * 1000))
+            try:
+                _, response = await self._coordinators.request(
+                    workspace.name, message, take_locally, min(wait_s, MAX_HOLD_S)
+                )
+            except RateExceeded as error:
+                if error.retry_after_s != ASK_AGAIN_S:
+                    raise
+                continue
+            assert isinstance(response, TokensTaken)
+            return requested_s, response.tokens
 
     async def _take_locally(self, workspace: Workspace, message: TakeTokens) -> int:
+        time_left_s = message.program_time_left_ms / 1000
         return await self._token_buckets.take(
             workspace,
             message.tokens,
             message.max_wait_ms / 1000,
             message.reserve,
             message.program,
+            time_left_s or math.inf,
+            MAX_HOLD_S,
         )
 
     async def _on_take_tokens(self, message: TakeTokens, sender: Sender) -> TokensTaken:
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -57,8 +57,9 @@
 # Retry-After of refusals for temporary conditions.
 NOT_FRESH_RETRY_S = 0.5
 NO_UPSTREAM_RETRY_S = 0.2
-# Shares of a request's timeout that it may wait for its rate and for its budget.
-RATE_WAIT_SHARE = 0.2
+# Shares of a request's timeout that it may wait for its rate and for its budget. Most
+# requests take a small part of their time to run.
+RATE_WAIT_SHARE = 0.4
 BUDGET_WAIT_SHARE = 0.2
 # Number of upstream rejections after which a request is refused.
 MAX_REJECTIONS = 6
@@ -219,7 +220,7 @@
             await self._rate_limiter.acquire(
                 workspace,
                 time_ms / 1000 * RATE_WAIT_SHARE,
-                metadata.startable_program_id(),
+                metadata,
                 route.priority == config.most_urgent_priority(),
             )
             measure(Timing.RATE_WAIT, (boottime_s() - started_s) * 1000)
--- a/packages/gateway/src/damasksaddle_gateway/token_buckets.py
+++ b/packages/gateway/src/damasksaddle_gateway/token_buckets.py
@@ -10,12 +10,13 @@
 While the store is unavailable to all VMs, `may_grant_offline` lets the coordinator hand
 out tokens from the last known level. They are subtracted from the row afterwards.
 
-Requests wait for a short time when the bucket is empty. A request that starts a program
-leaves a reserve to running programs and is refused while the bucket holds less. The
-first turn of a program that the workspace's coordinator sees starts it.
+Requests wait in a `RateQueue` while the bucket is empty, as long as their callers do. A
+request that cannot be served in that time is refused at once. The first turn of a
+program that the workspace's coordinator sees starts it.
 """
 
 import asyncio
+import itertools
 import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -28,7 +29,8 @@
     TableUnavailable,
 )
 from damasksaddle.platform import row_key
-from damasksaddle.utils import boottime_s, get_logger
+from damasksaddle.utils import Counter, boottime_s, count, get_logger
+from damasksaddle_gateway.rate_queue import RateQueue, Waiter
 from damasksaddle_gateway.routing_config import Workspace
 from damasksaddle_gateway.rows import CachedRow, update_row
 from damasksaddle_gateway.settings import GatewaySettings
@@ -57,6 +59,11 @@
 PROGRAM_IDLE_TIMEOUT_S = 10.0
 # Minimum delay after a draw that yielded too few tokens.
 MIN_DRAW_INTERVAL_S = 0.02
+# Maximum time that a request which starts a program waits. A caller that is told to
+# come back loses less than one that waits in vain.
+MAX_START_WAIT_S = 0.4
+# Retry-After of a request that may wait longer, but not in one message between VMs.
+ASK_AGAIN_S = 0.0
 
 
 def token_lifetime_s(workspace: Workspace, settings: GatewaySettings) -> float:
@@ -98,11 +105,16 @@
         Takes up to the requested number of tokens and returns how many were taken.
         """
         if boottime_s() >= self.expires_s:
-            self.tokens = 0.0
+            return 0
         taken = min(requested, math.floor(self.tokens))
         self.tokens -= taken
         return taken
 
+    def remove_all(self) -> float:
+        """Removes all tokens, expired or not, and returns their number."""
+        removed, self.tokens = self.tokens, 0.0
+        return removed
+
 
 @dataclass(slots=True)
 class _Bucket:
@@ -111,8 +123,9 @@
     row: CachedRow
     available: ExpiringTokens = field(default_factory=ExpiringTokens)
     demand: RateEstimate = field(default_factory=RateEstimate)
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-    waiting: int = 0
+    queue: RateQueue = field(default_factory=RateQueue)
+    # Serves the queue while it is not empty.
+    queue_task: asyncio.Task[None] | None = None
     level: float = math.inf
     level_updated_s: float = 0.0
     # Time of the last turn of each running program, oldest first.
@@ -141,6 +154,12 @@
         refilled = (boottime_s() - self.level_updated_s) * workspace.rate_per_s
         return min(workspace.burst, self.level + refilled)
 
+    def tokens(self, workspace: Workspace) -> float:
+        """Returns the tokens of the row and those drawn from it, or infinity."""
+        if math.isinf(self.level):
+            return math.inf
+        return self.current_level(workspace) + self.available.tokens
+
 
 class TokenBuckets:
     """Hands out tokens of workspaces."""
@@ -155,6 +174,11 @@
         self._settings = settings
         self._may_grant_offline = may_grant_offline
         self._buckets: dict[str, _Bucket] = {}
+        self._arrivals = itertools.count()
+
+    def store_delay_s(self) -> float:
+        """Returns how much longer than usual a draw takes, 0 if the store is fast."""
+        return self._table.latency.extra_write_s()
 
     async def take(
         self,
@@ -163,61 +187,130 @@
         max_wait_s: float,
         reserve: int = 0,
         program: str = "",
+        time_left_s: float = math.inf,
+        max_hold_s: float = math.inf,
     ) -> int:
         """
         Returns at least one token, and up to `requested` tokens if the bucket is ample.
 
-        A request that starts `program` leaves `reserve` tokens in the bucket. Raises
-        `RateExceeded` with the time until a token is available if that is longer than
-        `max_wait_s`, and `StoreUnavailable` if the rate cannot be checked.
+        A request with a `reserve` that starts `program` leaves so many tokens in the
+        bucket. `time_left_s` is the time until the program should end, and `max_hold_s`
+        the longest wait before this call returns. Raises `RateExceeded` with the time
+        until a token is available if that is longer than `max_wait_s`, or with
+        `ASK_AGAIN_S` after `max_hold_s`, and `StoreUnavailable` if the rate cannot be
+        checked.
         """
         bucket = self._bucket(workspace)
-        self._check_queue_wait(bucket, workspace, max_wait_s)
-        deadline_s = boottime_s() + max_wait_s
-        if program and not bucket.is_running(program):
-            await self._wait_for_reserve(bucket, workspace, reserve, deadline_s)
-        bucket.waiting += 1
-        try:
-            async with bucket.lock:
-                while True:
-                    grant_size = self._grant_size(bucket, workspace, requested)
-                    taken = bucket.available.take(grant_size)
-                    if taken:
-                        bucket.demand.record(taken)
-                        if program:
-                            bucket.record_turn(program)
-                        return taken
-                    wait_s = await self._draw_or_grant_offline(bucket, workspace)
-                    if wait_s and boottime_s() + wait_s > deadline_s:
-                        raise self._rate_exceeded(bucket, workspace, wait_s)
-                    await asyncio.sleep(wait_s)
-        finally:
-            bucket.waiting -= 1
+        starts_program = bool(program) and not bucket.is_running(program)
+        if not starts_program:
+            reserve = 0
+        if reserve:
+            max_wait_s = min(max_wait_s, MAX_START_WAIT_S)
+        now_s = boottime_s()
+        waiter = Waiter(
+            now_s + max_wait_s,
+            now_s + time_left_s,
+            next(self._arrivals),
+            reserve,
+            requested,
+            asyncio.get_running_loop().create_future(),
+        )
+        wait_s = self._expected_wait_s(bucket, workspace, waiter)
+        if wait_s > max_wait_s:
+            raise self._rate_exceeded(bucket, workspace, waiter)
+        bucket.queue.add(waiter)
+        self._serve_queue(bucket, workspace)
+        taken = await self._wait_for_grant(bucket, workspace, waiter, max_hold_s)
+        bucket.demand.record(taken)
+        if program:
+            bucket.record_turn(program)
+        return taken
 
-    async def _wait_for_reserve(
+    async def _wait_for_grant(
         self,
         bucket: _Bucket,
         workspace: Workspace,
-        reserve: int,
-        deadline_s: float,
-    ) -> None:
-        """
-        Waits, without joining the queue, until the bucket holds more than the reserve.
-        """
-        while True:
-            shortfall = self._shortfall(bucket, workspace) + reserve
-            if shortfall <= 0:
-                return
-            wait_s = shortfall / workspace.rate_per_s
-            if boottime_s() + wait_s > deadline_s:
-                raise self._rate_exceeded(bucket, workspace, wait_s, reserve)
-            await asyncio.sleep(wait_s)
+        waiter: Waiter,
+        max_hold_s: float,
+    ) -> int:
+        try:
+            hold_s = None if math.isinf(max_hold_s) else max_hold_s
+            async with asyncio.timeout(hold_s):
+                return await waiter.granted
+        except BaseException as error:
+            bucket.queue.discard(waiter)
+            granted = waiter.granted
+            if granted.done() and not granted.cancelled() and not granted.exception():
+                # The tokens arrived together with the timeout or a cancellation.
+                bucket.available.tokens += granted.result()
+            if not isinstance(error, TimeoutError):
+                raise
+            if boottime_s() < waiter.wait_until_s:
+                raise RateExceeded(
+                    "the request still waits", retry_after_s=ASK_AGAIN_S
+                ) from error
+            raise self._rate_exceeded(bucket, workspace, waiter) from error
 
     @staticmethod
-    def _shortfall(bucket: _Bucket, workspace: Workspace) -> float:
-        """Returns how many tokens one more request lacks, at the last known level."""
-        level = bucket.current_level(workspace)
-        return bucket.waiting + 1 - level - bucket.available.tokens
+    def _expected_wait_s(
+        bucket: _Bucket, workspace: Workspace, waiter: Waiter
+    ) -> float:
+        """Returns the time until a request can be served, at the last known level."""
+        shortfall = bucket.queue.shortfall(waiter, bucket.tokens(workspace))
+        return max(0.0, shortfall / workspace.rate_per_s)
+
+    def _serve_queue(self, bucket: _Bucket, workspace: Workspace) -> None:
+        """Grants what is available now, and starts a task for the rest."""
+        self._grant(bucket, workspace)
+        if len(bucket.queue) and bucket.queue_task is None:
+            bucket.queue_task = asyncio.create_task(
+                self._draw_for_queue(bucket, workspace)
+            )
+
+    def _grant(self, bucket: _Bucket, workspace: Workspace) -> None:
+        while waiter := bucket.queue.next_waiter(bucket.tokens(workspace)):
+            size = self._grant_size(bucket, workspace, waiter.requested)
+            taken = bucket.available.take(size)
+            if not taken:
+                return
+            bucket.queue.discard(waiter)
+            if waiter.granted.done():
+                bucket.available.tokens += taken
+            else:
+                count(Counter.RATE_TOKENS, "granted", taken)
+                waiter.granted.set_result(taken)
+
+    async def _draw_for_queue(self, bucket: _Bucket, workspace: Workspace) -> None:
+        try:
+            while len(bucket.queue):
+                wait_s = 0.0
+                if bucket.queue.next_waiter(bucket.tokens(workspace)) is not None:
+                    wait_s = await self._draw_or_grant_offline(bucket, workspace)
+                    self._grant(bucket, workspace)
+                shortfall = bucket.queue.first_shortfall(bucket.tokens(workspace))
+                wait_s = max(wait_s, shortfall / workspace.rate_per_s)
+                if wait_s > 0:
+                    self._refuse_hopeless(bucket, workspace)
+                    await asyncio.sleep(max(MIN_DRAW_INTERVAL_S, wait_s))
+        except StoreUnavailable as error:
+            for waiter in bucket.queue.clear():
+                if not waiter.granted.done():
+                    waiter.granted.set_exception(error)
+        finally:
+            bucket.queue_task = None
+
+    def _refuse_hopeless(self, bucket: _Bucket, workspace: Workspace) -> None:
+        """Refuses requests that cannot be served in the time that they may wait."""
+        for waiter in bucket.queue.waiters():
+            wait_s = self._expected_wait_s(bucket, workspace, waiter)
+            # The draw takes some time too; a request that could be served then stays.
+            if boottime_s() + wait_s <= waiter.wait_until_s + MIN_DRAW_INTERVAL_S:
+                continue
+            bucket.queue.discard(waiter)
+            if not waiter.granted.done():
+                waiter.granted.set_exception(
+                    self._rate_exceeded(bucket, workspace, waiter)
+                )
 
     async def _draw_or_grant_offline(
         self, bucket: _Bucket, workspace: Workspace
@@ -249,7 +342,8 @@
             * COORDINATOR_SHARE
             * PREFETCH_SHARE
         )
-        return bucket.waiting + math.ceil(bucket.demand.per_s() * prefetch_s)
+        servable = bucket.queue.servable(bucket.tokens(workspace))
+        return max(1, servable) + math.ceil(bucket.demand.per_s() * prefetch_s)
 
     def _make_available(
         self, bucket: _Bucket, workspace: Workspace, granted: float
@@ -258,21 +352,14 @@
         bucket.available.tokens = granted
         bucket.available.expires_s = boottime_s() + lifetime_s
 
-    def _check_queue_wait(
-        self, bucket: _Bucket, workspace: Workspace, max_wait_s: float
-    ) -> None:
-        """Raises if the queued requests alone take longer than the maximum wait."""
-        wait_s = self._shortfall(bucket, workspace) / workspace.rate_per_s
-        if wait_s > max_wait_s:
-            raise self._rate_exceeded(bucket, workspace, wait_s)
-
-    @staticmethod
     def _rate_exceeded(
-        bucket: _Bucket, workspace: Workspace, wait_s: float, reserve: int = 0
+        self, bucket: _Bucket, workspace: Workspace, waiter: Waiter
     ) -> RateExceeded:
+        wait_s = self._expected_wait_s(bucket, workspace, waiter)
         return RateExceeded(
-            f"level {bucket.level:.1f} of {workspace.burst:g}, "
-            f"{bucket.waiting} waiting, {reserve} reserved for running programs",
+            f"level {bucket.level:.1f} of {workspace.burst:g} at "
+            f"{workspace.rate_per_s:g}/s, {len(bucket.queue)} waiting, "
+            f"{waiter.reserve} reserved for running programs",
             retry_after_s=max(MIN_RETRY_S, wait_s),
         )
 
@@ -293,7 +380,7 @@
         """
         if bucket.level < workspace.burst * LOW_LEVEL_SHARE:
             return 1
-        spare = math.floor(bucket.available.tokens) - bucket.waiting + 1
+        spare = math.floor(bucket.available.tokens) - len(bucket.queue) + 1
         return max(1, min(requested, spare))
 
     async def _draw(self, bucket: _Bucket, workspace: Workspace) -> float:
@@ -304,7 +391,7 @@
         offline_tokens = bucket.offline_tokens
         granted = remaining = 0.0
         # Unused drawn tokens are returned to the row, even after they expired.
-        unused, bucket.available.tokens = bucket.available.tokens, 0.0
+        unused = bucket.available.remove_all()
 
         def update(value: dict[str, Any] | None) -> dict[str, Any] | None:
             nonlocal granted, remaining
@@ -325,11 +412,16 @@
         try:
             await update_row(self._table, bucket.row, update)
         except (TableUnavailable, ResponseLost) as error:
+            if isinstance(error, TableUnavailable):
+                # The row is unchanged, so the tokens are still this VM's.
+                bucket.available.tokens += unused
             raise StoreUnavailable(
                 f"rate of {workspace.name}: {error!r}", retry_after_s=STORE_RETRY_S
             ) from error
         bucket.level, bucket.level_updated_s = remaining, boottime_s()
         bucket.offline_tokens -= offline_tokens
+        count(Counter.RATE_TOKENS, "drawn", int(granted))
+        count(Counter.RATE_TOKENS, "returned", int(unused))
         if not granted:
             shortfall = 1 - remaining
             return max(MIN_DRAW_INTERVAL_S, shortfall / workspace.rate_per_s)
--- a/tests/gateway/test_program_admission.py
+++ b/tests/gateway/test_program_admission.py
@@ -7,7 +7,7 @@
 import pytest
 
 from damasksaddle.exceptions import RateExceeded
-from damasksaddle_gateway.rate_limiter import MAX_RATE_WAIT_S, RESERVE_SHARE
+from damasksaddle_gateway.rate_limiter import RESERVE_SHARE
 from damasksaddle_gateway.routing_config import Workspace
 from damasksaddle_gateway.store import StoreCircuitBreaker
 from damasksaddle_gateway.token_buckets import PROGRAM_IDLE_TIMEOUT_S, TokenBuckets
@@ -23,6 +23,7 @@
 CALLS_PER_TURN = 2
 REQUESTS_PER_PROGRAM = TURNS_PER_PROGRAM * (1 + CALLS_PER_TURN)
 MAX_ATTEMPTS = 2
+MAX_RATE_WAIT_S = 0.4
 
 
 class ProgramLoad:
