Tell a slow store from an unavailable one

Each update was written three times, found its own first write, and the average stayed; the peers' timeouts did not follow either. A call rejected for its rate (429) counted as a failure of the store. Found while reading: a repeated write could carry another value than the first, which may have been applied, so a row could record less than its VM granted. Change: store_latency estimates the duration of writes as TCP does round trips, from every answer, also late ones and conflicts; reads announce slow writes. A write is never abandoned: repeats wait for the first answer to any of them, at most two are under way, and they carry the same value. A VM's own failure (code refused, status 500) is PeerFailed and never reaches a caller. Log lines and a counter say slow and no longer slow.

--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -295,6 +295,10 @@
     """The platform did not accept the request; nothing was written."""
 
 
+class TableOverloaded(TableUnavailable):
+    """The table rejected a request because it gets too many; nothing was written."""
+
+
 class ResponseLost(PlatformError):
     """The table's response did not arrive; the write may have taken effect."""
 
@@ -343,6 +347,10 @@
     """The peer did not respond within the deadline."""
 
 
+class PeerFailed(PeerError):
+    """The peer did not handle the request, which may have taken effect in part."""
+
+
 class PeerRejected(PeerError):
     """The peer failed to authenticate as a member of this fleet."""
 
@@ -378,6 +386,13 @@
 def refusal_from_code(
     code: str, detail: str, not_run: str, retry_after_s: float | None
 ) -> Refusal:
-    """Returns the refusal that another node reported."""
+    """
+    Returns the refusal that another node reported.
+
+    Raises `PeerFailed` if the node reported its own failure: that says nothing about
+    the caller's request, and no caller may see it.
+    """
+    if code == Refusal.code:
+        raise PeerFailed(detail)
     refusal_type = _refusals_by_code(Refusal).get(code, Refusal)
     return refusal_type(detail, not_run=NotRun(not_run), retry_after_s=retry_after_s)
--- a/packages/gateway/src/damasksaddle_gateway/coordinators.py
+++ b/packages/gateway/src/damasksaddle_gateway/coordinators.py
@@ -22,6 +22,9 @@
 
 # Covers a round trip between failure domains and a few store calls.
 PEER_TIMEOUT_S = 0.15
+# Number of consecutive writes that a coordinator may need; each takes longer if the
+# store is slow.
+MAX_WRITES = 2
 # The coordinator and the VMs that may take its place.
 MAX_CANDIDATES = 3
 STORE_RETRY_S = 0.5
@@ -79,6 +82,7 @@
         if not self._store.is_available():
             # The coordinator may wait until the outage is confirmed.
             wait_s += CONFIRM_WAIT_S
+        wait_s += MAX_WRITES * self._store.latency.extra_write_s()
         for vm in candidates:
             try:
                 if vm == self._vm:
--- a/packages/gateway/src/damasksaddle_gateway/membership.py
+++ b/packages/gateway/src/damasksaddle_gateway/membership.py
@@ -16,10 +16,11 @@
 from mode import Service
 
 from damasksaddle.exceptions import PlatformError
-from damasksaddle.platform import Page, Put, Row, VersionedTable, row_key
+from damasksaddle.platform import Page, Put, Row, row_key
 from damasksaddle.utils import boottime_s, get_logger, rendezvous
 from damasksaddle_gateway.feeds import TableFeed, read_all
 from damasksaddle_gateway.settings import GatewaySettings
+from damasksaddle_gateway.store import StoreCircuitBreaker
 
 log = get_logger("roster")
 
@@ -32,6 +33,12 @@
 # Maximum rate of heartbeats of all VMs together: half of the write capacity of one
 # table partition, and 100 rows of 90 bytes per second for each VM to read.
 MAX_HEARTBEATS_PER_S = 100.0
+# Share of a write's duration for which the partition cannot process another one. A slow
+# store gets fewer heartbeats, so that they do not queue up there.
+PARTITION_SHARE = 0.6
+# The longest of the recent heartbeat intervals counts for the others, because a VM may
+# have chosen its interval before this one noticed that the store is fast again.
+INTERVAL_DECAY = 0.8
 # A VM is live if its counter changed within this many heartbeat intervals, so two
 # heartbeats may fail.
 DEAD_AFTER_HEARTBEATS = 2.6
@@ -71,7 +78,7 @@
 class Membership(Service):
     """Registers this VM and tracks the others."""
 
-    def __init__(self, table: VersionedTable, settings: GatewaySettings) -> None:
+    def __init__(self, table: StoreCircuitBreaker, settings: GatewaySettings) -> None:
         super().__init__()
         self._table = table
         self._settings = settings
@@ -80,6 +87,7 @@
         # them.
         self._live_cache: list[Member] | None = None
         self._heartbeat_count = 0
+        self._longest_interval_s = HEARTBEAT_S
         self._leaving = False
         # This VM is not listed to callers while it is not ready.
         self.is_ready: Callable[[], bool] = lambda: True
@@ -117,7 +125,11 @@
 
     def heartbeat_interval_s(self) -> float:
         """Returns the heartbeat interval for the current number of VMs."""
-        return max(HEARTBEAT_S, len(self._members) / MAX_HEARTBEATS_PER_S)
+        return max(
+            HEARTBEAT_S,
+            len(self._members) / MAX_HEARTBEATS_PER_S,
+            len(self._members) * self._table.latency.write_s() * PARTITION_SHARE,
+        )
 
     def _live_members(self) -> list[Member]:
         # Each request needs this list several times, and it changes only after a read.
@@ -136,7 +148,8 @@
         return self._last_read_s - member.last_seen_s < self._dead_after_s()
 
     def _dead_after_s(self) -> float:
-        return DEAD_AFTER_HEARTBEATS * self.heartbeat_interval_s()
+        interval_s = max(self.heartbeat_interval_s(), self._longest_interval_s)
+        return DEAD_AFTER_HEARTBEATS * interval_s
 
     async def leave(self) -> None:
         """Tells the other VMs that this VM no longer accepts callers."""
@@ -155,7 +168,11 @@
                 await self._register()
             await self._write_heartbeat()
             await self._read_heartbeats()
-            await self.sleep(self.heartbeat_interval_s())
+            interval_s = self.heartbeat_interval_s()
+            self._longest_interval_s = max(
+                interval_s, self._longest_interval_s * INTERVAL_DECAY
+            )
+            await self.sleep(interval_s)
 
     def _is_registered(self) -> bool:
         """Tells whether this VM's row, as last read, is up to date."""
--- a/packages/gateway/src/damasksaddle_gateway/rows.py
+++ b/packages/gateway/src/damasksaddle_gateway/rows.py
@@ -1,19 +1,24 @@
 """Updates rows by compare-and-set with retries."""
 
+import asyncio
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from damasksaddle.exceptions import ResponseLost, TableUnavailable, WriteConflict
-from damasksaddle.platform import Put, Row
+from damasksaddle.platform import Page, Put, Row
 from damasksaddle.utils import boottime_s, new_id
 from damasksaddle_gateway.store import StoreCircuitBreaker
 
 # Attempts before an update that keeps conflicting with other VMs is given up.
 MAX_ATTEMPTS = 6
-# No attempt starts after this time, because a request usually waits for the update.
+# No attempt starts after this time, because a request usually waits for the update. In
+# a slow store, one write alone may take as long.
 MAX_DURATION_S = 0.8
+MAX_DURATION_WRITES = 3.0
+# Number of writes of one update that may be without an answer.
+MAX_UNANSWERED = 2
 
 
 @dataclass(slots=True)
@@ -45,24 +50,28 @@
     applied, and `ResponseLost` if that is unknown.
     """
     operation = new_id("op")
+    put: Put | None = None
+    unanswered: list[asyncio.Task[Page]] = []
     outcome_unknown = False
     started_s = boottime_s()
     for attempt in range(MAX_ATTEMPTS):
-        if attempt and boottime_s() - started_s > MAX_DURATION_S:
+        max_duration_s = max(
+            MAX_DURATION_S, MAX_DURATION_WRITES * table.latency.write_s()
+        )
+        if attempt and boottime_s() - started_s > max_duration_s:
             break
-        value = change(cached.value)
-        if value is None:
-            if outcome_unknown:
-                raise ResponseLost(cached.key)
-            if not reread:
-                return False
-            _refresh(cached, await table.row(cached.key))
-            reread = False
-            continue
-        value = {**value, "operation": operation}
-        put = Put(cached.key, json.dumps(value), cached.version)
+        if put is None:
+            value = change(cached.value)
+            if value is None:
+                if not reread:
+                    return False
+                _refresh(cached, await table.row(cached.key))
+                reread = False
+                continue
+            value = {**value, "operation": operation}
+            put = Put(cached.key, json.dumps(value), cached.version)
         try:
-            page = await table.commit([put], attempt=attempt)
+            page = await _commit_or_wait(table, put, unanswered)
         except WriteConflict as error:
             rows = [row for row in error.rows if row.key == cached.key]
             _refresh(cached, rows[0] if rows else None)
@@ -73,21 +82,39 @@
                 # The write without a response may have been applied and then
                 # overwritten.
                 raise ResponseLost(cached.key) from error
+            put = None
             continue
         except ResponseLost:
+            # Only the same value can be repeated: `change` may return another one now,
+            # and this one may have been written.
             outcome_unknown = True
             continue
         except TableUnavailable as error:
-            if outcome_unknown:
+            if not outcome_unknown:
+                raise
+            answer = await table.late_answer(unanswered)
+            if answer is None:
                 raise ResponseLost(cached.key) from error
-            raise
-        cached.version, cached.value = page.version, value
+            page = answer
+        cached.version, cached.value = page.version, json.loads(put.value or "{}")
         return True
     if outcome_unknown:
         raise ResponseLost(cached.key)
     raise TableUnavailable(f"{cached.key}: too many conflicting writes by other VMs")
 
 
+async def _commit_or_wait(
+    table: StoreCircuitBreaker, put: Put, unanswered: list[asyncio.Task[Page]]
+) -> Page:
+    """Writes, or waits for the earlier writes: more would make a slow store slower."""
+    if len(unanswered) < MAX_UNANSWERED:
+        return await table.commit([put], unanswered)
+    page = await table.late_answer(unanswered)
+    if page is None:
+        raise ResponseLost(put.key)
+    return page
+
+
 def _refresh(cached: CachedRow, row: Row | None) -> None:
     if row is None or row.deleted:
         cached.version, cached.value = 0, None
--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -11,9 +11,15 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from damasksaddle.exceptions import ResponseLost, TableUnavailable
+from damasksaddle.exceptions import (
+    ResponseLost,
+    TableOverloaded,
+    TableUnavailable,
+    WriteConflict,
+)
 from damasksaddle.platform import Page, Put, Row, VersionedTable
 from damasksaddle.utils import Counter, Timing, boottime_s, count, get_logger, measure
+from damasksaddle_gateway.store_latency import StoreLatency
 
 log = get_logger("store")
 
@@ -22,16 +28,11 @@
 # Number of consecutive failures after which the store counts as unavailable. Single
 # responses may be lost while the store works.
 FAILURE_THRESHOLD = 3
-# Initial estimate of the duration of a write, and the weight of each new sample in the
-# moving average.
-INITIAL_WRITE_S = 0.015
-WRITE_SMOOTHING = 0.2
-# A write times out after this multiple of the average duration and is then retried.
-WRITE_TIMEOUT_FACTOR = 5.0
-MAX_WRITE_TIMEOUT_S = 0.7
 # A write timeout counts as a failure only if the store did not respond to any other
-# call for this time either. The change feed alone gets two responses per second.
+# call for this time either, or for twice its timeout if it is slow. The change feed
+# alone gets two responses per second.
 SILENCE_THRESHOLD_S = 0.3
+SILENCE_TIMEOUTS = 2.0
 
 
 class StoreClock:
@@ -83,7 +84,10 @@
         self._failures = 0
         self._unavailable_since_s = 0.0
         self._last_answer_s = -math.inf
-        self._average_write_s = INITIAL_WRITE_S
+        self._was_slow = False
+        # Writes whose answers may still arrive after their callers gave up.
+        self._writes: set[asyncio.Task[Page]] = set()
+        self.latency = StoreLatency()
         self.clock = StoreClock()
         # Called with the request time and the page for each response that contains the
         # newest version.
@@ -103,35 +107,79 @@
         self._check_available()
         return await self._track(self._table.row(key))
 
-    async def commit(self, puts: list[Put], attempt: int = 0) -> Page:
+    async def commit(
+        self, puts: list[Put], unanswered: list[asyncio.Task[Page]] | None = None
+    ) -> Page:
         """
-        Applies writes, with a timeout of a few times the average duration of a write.
+        Applies writes; raises `ResponseLost` if the answer is later than expected.
 
-        A write whose response is lost is recognized when it is retried, so a longer
-        timeout has no benefit. The timeout doubles with each further attempt.
+        A write is never abandoned: its answer, however late, adjusts the timeout of the
+        next one. A caller that repeats a write passes the list `unanswered`, which
+        collects the earlier ones; the first answer to any of them counts.
         """
         self._check_available()
-        timeout_s = min(
-            MAX_WRITE_TIMEOUT_S,
-            self._average_write_s * WRITE_TIMEOUT_FACTOR * 2**attempt,
-        )
         started_s = boottime_s()
+        timeout_s = self.latency.write_timeout_s()
+        write = asyncio.create_task(self._commit(puts, started_s))
+        self._writes.add(write)
+        write.add_done_callback(self._on_write_done)
+        page = await _first_answer(write, unanswered or [], timeout_s)
+        if page is not None:
+            return page
+        if unanswered is not None:
+            unanswered.append(write)
+        self.latency.writes.record_timeout(started_s, boottime_s())
+        answer_lost = ResponseLost(f"no response within {timeout_s:.3f} s")
+        if self.silence_s() > max(SILENCE_THRESHOLD_S, SILENCE_TIMEOUTS * timeout_s):
+            self._record_failure(answer_lost)
+        raise answer_lost
+
+    async def late_answer(self, unanswered: list[asyncio.Task[Page]]) -> Page | None:
+        """Waits for an answer to one of several writes; returns None if none comes."""
+        started_s = boottime_s()
+        page = await _first_answer(None, unanswered, self.latency.write_timeout_s())
+        if page is None:
+            self.latency.writes.record_timeout(started_s, boottime_s())
+        return page
+
+    async def _commit(self, puts: list[Put], started_s: float) -> Page:
         try:
-            async with asyncio.timeout(timeout_s):
-                page = await self._track(self._table.commit(puts))
-        except TimeoutError as error:
-            answer_lost = ResponseLost(f"no response within {timeout_s:.3f} s")
-            if self.silence_s() > SILENCE_THRESHOLD_S:
-                self._record_failure(answer_lost)
-            raise answer_lost from error
+            page = await self._track(self._table.commit(puts))
+        except WriteConflict:
+            self._record_write(started_s)
+            raise
+        self._record_write(started_s)
+        return self._observe_page(started_s, page)
+
+    def _on_write_done(self, write: asyncio.Task[Page]) -> None:
+        self._writes.discard(write)
+        if not write.cancelled() and write.exception() is not None:
+            # Its caller either got the exception or had given up before.
+            log.debug("A write failed.", error=repr(write.exception()))
+
+    def _record_write(self, started_s: float) -> None:
         duration_s = boottime_s() - started_s
         measure(Timing.STORE, duration_s * 1000)
-        self._average_write_s += WRITE_SMOOTHING * (duration_s - self._average_write_s)
-        return self._observe_page(started_s, page)
+        self.latency.writes.record(duration_s)
+        self._log_if_slow()
+
+    def _log_if_slow(self) -> None:
+        """Logs that the store became slow, or that it is fast again."""
+        if self.latency.is_slow() == self._was_slow:
+            return
+        self._was_slow = not self._was_slow
+        expected_ms = round(self.latency.write_s() * 1000)
+        if self._was_slow:
+            count(Counter.STORE_SLOWDOWNS)
+            log.warning("The store is slow.", write_ms=expected_ms)
+        else:
+            log.info("The store is no longer slow.", write_ms=expected_ms)
 
     async def page(self, prefix: str, after: str = "", limit: int = 500) -> Page:
         requested_s = boottime_s()
         page = await self._track(self._table.page(prefix, after, limit))
+        self.latency.reads.record(boottime_s() - requested_s)
+        self._log_if_slow()
         return self._observe_page(requested_s, page)
 
     async def changes(self, table: str, after_version: int, wait_s: float) -> Page:
@@ -155,6 +203,10 @@
     async def _track(self, call: Awaitable[Result]) -> Result:
         try:
             result = await call
+        except TableOverloaded:
+            # The store responded, so it is not unavailable.
+            self._record_success()
+            raise
         except (TableUnavailable, ResponseLost) as error:
             self._record_failure(error)
             raise
@@ -180,3 +232,28 @@
             self.unavailable.clear()
         self._failures = 0
         self._last_answer_s = boottime_s()
+
+
+async def _first_answer(
+    write: asyncio.Task[Page] | None,
+    unanswered: list[asyncio.Task[Page]],
+    timeout_s: float,
+) -> Page | None:
+    """
+    Returns the page of the first write that succeeds, or None after the timeout.
+
+    Raises the exception of `write` if it fails; those of earlier writes are ignored.
+    """
+    waiting = {*unanswered} | ({write} if write is not None else set())
+    try:
+        async with asyncio.timeout(timeout_s):
+            while waiting:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    if task is write or (not task.cancelled() and not task.exception()):
+                        return task.result()
+    except TimeoutError:
+        pass
+    return None
--- a/packages/standins/src/damasksaddle_standins/versioned_table.py
+++ b/packages/standins/src/damasksaddle_standins/versioned_table.py
@@ -8,6 +8,7 @@
 from damasksaddle.exceptions import (
     ChangesExpired,
     ResponseLost,
+    TableOverloaded,
     TableUnavailable,
     WriteConflict,
 )
@@ -16,6 +17,8 @@
 # The round-trip time of a call, and the additional time of a transaction.
 CALL_LATENCY_S = 0.004
 TRANSACTION_LATENCY_S = 0.005
+# A partition rejects a transaction if those before it take longer than this.
+MAX_PARTITION_QUEUE_S = 1.0
 # Longer than the timeout of any client.
 WITHHELD_ANSWER_S = 3600.0
 # The delay until a postponed write takes effect.
@@ -31,6 +34,25 @@
     version: int = 0
     compacted_version: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    # All calls take this many times as long.
+    slowdown: float = 1.0
+    # Time at which each partition has finished its transactions.
+    _partition_free_s: dict[str, float] = field(default_factory=dict)
+
+    def enqueue(self, key: str) -> float:
+        """
+        Adds a transaction to the queue of its partition and returns when it is done.
+
+        Raises `TableOverloaded` if the queue is too long.
+        """
+        partition = key.rpartition("/")[0]
+        now_s = asyncio.get_running_loop().time()
+        free_s = max(now_s, self._partition_free_s.get(partition, 0.0))
+        if free_s - now_s > MAX_PARTITION_QUEUE_S:
+            raise TableOverloaded(partition)
+        free_s += TRANSACTION_LATENCY_S * self.slowdown
+        self._partition_free_s[partition] = free_s
+        return free_s
 
     def apply(self, puts: list[Put]) -> None:
         """Applies all puts atomically; raises `WriteConflict`."""
@@ -83,10 +105,11 @@
         self.withhold_answer: Callable[[list[Put]], bool] = lambda puts: False
         self.postpone_write: Callable[[list[Put]], bool] = lambda puts: False
         self.calls = 0
+        self.commits = 0
 
     async def _simulate_call(self, time_s: float) -> None:
         self.calls += 1
-        await asyncio.sleep(time_s)
+        await asyncio.sleep(time_s * self._rows.slowdown)
         if self.down:
             raise TableUnavailable("the table is down")
 
@@ -135,7 +158,12 @@
             raise ChangesExpired(table)
 
     async def commit(self, puts: list[Put]) -> Page:
-        await self._simulate_call(CALL_LATENCY_S + TRANSACTION_LATENCY_S)
+        self.commits += 1
+        await self._simulate_call(CALL_LATENCY_S)
+        done_s = self._rows.enqueue(puts[0].key)
+        await asyncio.sleep(done_s - asyncio.get_running_loop().time())
+        if self.down:
+            raise TableUnavailable("the table is down")
         if self.postpone_write(puts):
             loop = asyncio.get_running_loop()
             loop.call_later(POSTPONED_WRITE_DELAY_S, self._apply_postponed, puts)
