Bound every reader in bytes and time, and finish requests accepted during a stop

A connection that had received bytes while it was idle was reused, and the late second copy became the response to the next request unless it carried another id. A stop closed connections 0.3 s after the last check for active requests, and cut what was accepted in between. After a suspension, a request whose time was over was still sent. Ruled out: requiring the request id in every response (upstreams of the first version do not echo it).

--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -123,6 +123,12 @@
     title = "The request body is too large."
 
 
+class BodyTimeout(Refusal):
+    code = "body_timeout"
+    status = 408
+    title = "The request's body did not arrive in time."
+
+
 class HeadersTooLarge(Refusal):
     code = "headers_too_large"
     status = 431
@@ -227,6 +233,10 @@
     title = "This VM is shutting down."
 
 
+class SizeLimitExceeded(DamasksaddleError):
+    """A received message is larger than this side accepts."""
+
+
 class ConfigError(DamasksaddleError):
     """An invalid document, setting or configuration change."""
 
--- a/packages/core/src/damasksaddle/utils/__init__.py
+++ b/packages/core/src/damasksaddle/utils/__init__.py
@@ -12,6 +12,7 @@
     measure,
     reset_metrics,
 )
+from damasksaddle.utils.streams import read_limited
 
 __all__ = [
     "Counter",
@@ -25,6 +26,7 @@
     "measure",
     "new_id",
     "partition_of",
+    "read_limited",
     "rendezvous",
     "reset_metrics",
     "seed_ids",
--- a/packages/gateway/src/damasksaddle_gateway/events.py
+++ b/packages/gateway/src/damasksaddle_gateway/events.py
@@ -1,6 +1,10 @@
 """Splits a stream of server-sent events into complete events."""
 
+from damasksaddle.exceptions import SizeLimitExceeded
+
 SEPARATOR = b"\n\n"
+# Far above any event; bytes without a separator are not buffered without end.
+MAX_EVENT_BYTES = 1024 * 1024
 _ID_FIELD = b"id:"
 
 
@@ -29,8 +33,10 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Returns the events that are now complete."""
+        """Returns the events that are now complete; raises `SizeLimitExceeded`."""
         *events, self._buffer = (self._buffer + data).split(SEPARATOR)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise SizeLimitExceeded(f"an event of more than {MAX_EVENT_BYTES} bytes")
         for event in events:
             self._record(event)
         return [event + SEPARATOR for event in events]
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -1,6 +1,7 @@
 """Assembles the components of a gateway process and runs them as one service."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -129,6 +130,7 @@
             self.request_handler, self.membership, codec, settings.address_ttl_s
         )
         self._runners: list[web.ServerRunner] = []
+        self._stop_deadline_s = -math.inf
 
     def on_init_dependencies(self) -> list[ServiceT]:
         return [
@@ -186,6 +188,7 @@
         self.request_handler.draining = True
         await self.membership.leave()
         deadline_s = started_s + settings.grace_s - STOP_MARGIN_S
+        self._stop_deadline_s = deadline_s
         addresses_expire_s = (
             started_s + settings.address_ttl_s * ADDRESS_RETENTION_FACTOR
         )
@@ -197,7 +200,28 @@
                 break
             await asyncio.sleep(STOP_POLL_S)
 
+    async def _finish_requests(self) -> None:
+        """
+        Accepts no more requests, and waits for those that were just accepted.
+
+        After `drain`, a request may have arrived on a connection that was still open.
+        """
+        for runner in self._runners:
+            for site in list(runner.sites):
+                await site.stop()
+        # Lets the handlers of received requests start before idle connections close.
+        await asyncio.sleep(0)
+        for runner in self._runners:
+            if runner.server is not None:
+                runner.server.pre_shutdown()
+        while (
+            self.request_handler.active_requests
+            and boottime_s() < self._stop_deadline_s
+        ):
+            await asyncio.sleep(STOP_POLL_S)
+
     async def on_stop(self) -> None:
+        await self._finish_requests()
         for runner in self._runners:
             await runner.cleanup()
         await self.upstreams.stop()
--- a/packages/gateway/src/damasksaddle_gateway/relay.py
+++ b/packages/gateway/src/damasksaddle_gateway/relay.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from damasksaddle.exceptions import OutcomeUnknown
+from damasksaddle.exceptions import OutcomeUnknown, SizeLimitExceeded
 from damasksaddle.utils import Counter, count, get_logger
 from damasksaddle_gateway.calls import Call
 from damasksaddle_gateway.interfaces import HeaderCodec
@@ -39,7 +39,7 @@
         engine = call.service.engine
         tokens_per_event = engine.tokens_per_event if engine else 0
         async for chunk in upstream_response.chunks():
-            for event in call.events.feed(chunk):
+            for event in self._split(call, chunk):
                 call.tokens_used += tokens_per_event
                 if call.reservation and call.tokens_used > call.reservation.tokens:
                     call.tokens_used -= tokens_per_event
@@ -56,6 +56,13 @@
         await response.write_eof()
         return response
 
+    @staticmethod
+    def _split(call: Call, chunk: bytes) -> list[bytes]:
+        try:
+            return call.events.feed(chunk)
+        except SizeLimitExceeded as error:
+            raise ResponseInterrupted(str(error)) from error
+
     async def _start_stream(
         self, request: web.BaseRequest, call: Call, upstream_response: UpstreamResponse
     ) -> web.StreamResponse:
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -11,6 +11,7 @@
 from aiohttp import hdrs, web
 
 from damasksaddle.exceptions import (
+    BodyTimeout,
     BodyTooLarge,
     DeadlineExceeded,
     HeadersTooLarge,
@@ -20,9 +21,18 @@
     OutcomeUnknown,
     Refusal,
     RouteNotFound,
+    SizeLimitExceeded,
     UpstreamUnavailable,
 )
-from damasksaddle.utils import Counter, Timing, boottime_s, count, get_logger, measure
+from damasksaddle.utils import (
+    Counter,
+    Timing,
+    boottime_s,
+    count,
+    get_logger,
+    measure,
+    read_limited,
+)
 from damasksaddle_gateway.calls import Call
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.interfaces import HeaderCodec, RequestMetadata
@@ -74,16 +84,22 @@
 RESPONSE_MARGIN_S = 0.02
 
 
-async def read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
-    """Returns the body; raises `BodyTooLarge` as soon as the limit is exceeded."""
-    chunks = []
-    size_bytes = 0
-    async for chunk in request.content.iter_any():
-        size_bytes += len(chunk)
-        if size_bytes > limit_bytes:
-            raise BodyTooLarge
-        chunks.append(chunk)
-    return b"".join(chunks)
+async def read_body(
+    request: web.BaseRequest, limit_bytes: int, timeout_s: float
+) -> bytes:
+    """
+    Returns the body.
+
+    Raises `BodyTooLarge` as soon as the limit is exceeded, and `BodyTimeout` if the
+    caller does not send all of it in time.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await read_limited(request.content, limit_bytes)
+    except SizeLimitExceeded as error:
+        raise BodyTooLarge from error
+    except TimeoutError as error:
+        raise BodyTimeout from error
 
 
 def check_header_size(request: web.BaseRequest, limit_bytes: int) -> None:
@@ -186,7 +202,11 @@
     async def _admit(
         self, request: web.BaseRequest, metadata: RequestMetadata, started_s: float
     ) -> Call:
-        body = await read_body(request, self._limits().max_body_bytes)
+        limits = self._limits()
+        body_time_ms = min(
+            limits.idle_timeout_ms, metadata.deadline_ms or limits.idle_timeout_ms
+        )
+        body = await read_body(request, limits.max_body_bytes, body_time_ms / 1000)
         config = self._current_config()
         check_header_size(request, config.limits.max_header_bytes)
         raw_path = request.raw_path
@@ -347,6 +367,9 @@
                 candidates, call.service, vms, deadline_s
             ):
                 raise self._no_upstream_refusal(call)
+        if call.time_left_s() <= 0:
+            # This VM may have been suspended; its timers do not count that time.
+            raise self._timeout_refusal(call)
         if call.workspace is not None:
             # A key may have been withdrawn while the request waited.
             self._current_config()
--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -27,6 +27,9 @@
 KEEPALIVE_S = 4.0
 # Maximum size of a plain response that is buffered before it is relayed.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Maximum length of one header line, and number of lines, of a response.
+MAX_HEADER_LINE_BYTES = 8190
+MAX_HEADERS = 128
 
 
 class UpstreamAttemptError(DamasksaddleError):
@@ -54,6 +57,15 @@
 
     close_error: BaseException | None = None
 
+    def is_connected(self) -> bool:
+        """
+        Tells whether the connection can carry another request.
+
+        Bytes that arrived while it was idle belong to an earlier request, and would be
+        taken for the response to the next one.
+        """
+        return super().is_connected() and not self.should_close
+
     def connection_lost(self, exc: BaseException | None) -> None:
         self.close_error = exc
         super().connection_lost(exc)
@@ -78,8 +90,20 @@
     connection: _Connection | None
 
     async def body(self) -> bytes:
-        """Returns the complete body; raises `ResponseInterrupted`."""
-        chunks = [chunk async for chunk in self.chunks()]
+        """
+        Returns the complete body.
+
+        Raises `ResponseInterrupted`, also if the body exceeds `MAX_RESPONSE_BYTES`.
+        """
+        chunks = []
+        size_bytes = 0
+        async for chunk in self.chunks():
+            size_bytes += len(chunk)
+            if size_bytes > MAX_RESPONSE_BYTES:
+                raise ResponseInterrupted(
+                    f"the response has more than {MAX_RESPONSE_BYTES} bytes"
+                )
+            chunks.append(chunk)
         return b"".join(chunks)
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -107,6 +131,9 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            max_line_size=MAX_HEADER_LINE_BYTES,
+            max_field_size=MAX_HEADER_LINE_BYTES,
+            max_headers=MAX_HEADERS,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_S, connect=CONNECT_TIMEOUT_S
             ),
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+import pytest
 from aiohttp import web
 
+from damasksaddle.utils import clock
 from damasksaddle_gateway.budgets import Budgets
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.coordinators import Coordinators
@@ -453,3 +455,52 @@
         notes = {f"X_Note{n}": "n" * 6_000 for n in range(4)}
         assert (await gateway.send("/once/x", **notes))[0] == 431
         assert len(gateway.received) == 2
+
+
+async def test_a_late_second_copy_is_not_given_to_the_next_caller() -> None:
+    """Guards against taking bytes of an idle connection for the next response."""
+    copies = 0
+
+    async def respond_twice(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal copies
+        while await reader.readuntil(b"body"):
+            copies += 1
+            body = f"answer {copies}".encode()
+            answer = (
+                b"HTTP/1.1 200 OK\r\nX-Server-Signature: s1\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+            )
+            writer.write(answer)
+            await asyncio.sleep(0.05)
+            writer.write(answer)
+
+    server = await asyncio.start_server(respond_twice, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    async with run_gateway() as gateway:
+        gateway.config_watcher.upstreams["u"] = Upstream(
+            "u", "svc", f"{host}:{port}", "a", 4, False
+        )
+        assert (await gateway.send("/once/x"))[1] == b"answer 1"
+        await asyncio.sleep(0.15)
+        assert (await gateway.send("/once/x"))[1] == b"answer 2"
+    server.close()
+
+
+async def test_a_suspended_vm_does_not_send_a_request_whose_time_is_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against timers that do not count the time of a suspension."""
+    suspended_s = 0.0
+    monkeypatch.setattr(clock._suspension_clock, "suspended_s", lambda: suspended_s)
+
+    async def reject_and_suspend(request: web.BaseRequest) -> web.StreamResponse:
+        nonlocal suspended_s
+        suspended_s = 3.0
+        return await reject_as_full(request)
+
+    async with run_gateway(reject_and_suspend, reject_and_suspend) as gateway:
+        status, _, _ = await gateway.send("/once/x")
+        assert status == 503
+        assert len(gateway.received) == 1
