Let draws cover the time of a slow write, and starts wait for two of them

Cause: with a store 60 times slower, a request that arrived while a draw was under way waited for the next one too and was refused with the bucket nearly full; one that starts a program waited 0.4 s whatever the store took; VMs took 0.3 s without an answer for an outage. A request whose time was used up by the wait asked for a budget with a negative time, which no frame can carry. Change: a draw is sized for what arrives while it is written, starts wait for two draws, silence counts from 0.6 s, and a request without time left ends before its budget.

--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -261,7 +261,9 @@
 
     async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         try:
-            async with asyncio.timeout(max(0.0, call.time_left_s())):
+            if call.time_left_s() <= 0:
+                raise TimeoutError
+            async with asyncio.timeout(call.time_left_s()):
                 await self._reserve(call)
                 return await self._try_upstreams(request, call)
         except TimeoutError as error:
--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -31,7 +31,7 @@
 # A write timeout counts as a failure only if the store did not respond to any other
 # call for this time either, or for twice its timeout if it is slow. The change feed
 # alone gets two responses per second.
-SILENCE_THRESHOLD_S = 0.3
+SILENCE_THRESHOLD_S = 0.6
 SILENCE_TIMEOUTS = 2.0
 
 
--- a/packages/gateway/src/damasksaddle_gateway/token_buckets.py
+++ b/packages/gateway/src/damasksaddle_gateway/token_buckets.py
@@ -62,6 +62,8 @@
 # Maximum time that a request which starts a program waits. A caller that is told to
 # come back loses less than one that waits in vain.
 MAX_START_WAIT_S = 0.4
+# Number of draws that a request may wait for: one under way, and the next one.
+DRAWS_PER_WAIT = 2
 # Retry-After of a request that may wait longer, but not in one message between VMs.
 ASK_AGAIN_S = 0.0
 
@@ -205,7 +207,8 @@
         if not starts_program:
             reserve = 0
         if reserve:
-            max_wait_s = min(max_wait_s, MAX_START_WAIT_S)
+            start_wait_s = MAX_START_WAIT_S + DRAWS_PER_WAIT * self.store_delay_s()
+            max_wait_s = min(max_wait_s, start_wait_s)
         now_s = boottime_s()
         waiter = Waiter(
             now_s + max_wait_s,
@@ -337,7 +340,8 @@
         return 0.0
 
     def _draw_size(self, bucket: _Bucket, workspace: Workspace) -> int:
-        prefetch_s = (
+        # Requests that arrive while a slow store handles the draw are covered by it.
+        prefetch_s = self._table.latency.extra_write_s() + (
             token_lifetime_s(workspace, self._settings)
             * COORDINATOR_SHARE
             * PREFETCH_SHARE
--- a/packages/gateway/src/damasksaddle_gateway/turns.py
+++ b/packages/gateway/src/damasksaddle_gateway/turns.py
@@ -83,8 +83,8 @@
             program,
             budget,
             max_turn_tokens,
-            int(max_wait_s * 1000),
-            int((time_left_s + EXPIRY_MARGIN_S) * 1000),
+            int(max(0.0, max_wait_s) * 1000),
+            int((max(0.0, time_left_s) + EXPIRY_MARGIN_S) * 1000),
             may_be_first_turn,
         )
 
