Apply changed settings while a process runs

A store that accepts none of this VM's calls for 1 s (429 for all of them) counts as unavailable again, as it did before 429 was told apart.

--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -119,7 +119,7 @@
     ) -> None:
         super().__init__()
         self._table = table
-        self._settle_s = settle_s
+        self.settle_s = settle_s
         self._may_grant_offline = may_grant_offline
         # Tells which table partitions this VM cleans up.
         self._cleans_up_part = cleans_up_part
@@ -146,7 +146,7 @@
         account = self._account(workspace, program)
         account.budget = budget
         account.may_be_first_turn = account.may_be_first_turn or may_be_first_turn
-        deadline_s = boottime_s() + min(max_wait_s, self._settle_s)
+        deadline_s = boottime_s() + min(max_wait_s, self.settle_s)
         account.active_requests += 1
         try:
             tokens = await self._reserve_or_wait(
--- a/packages/gateway/src/damasksaddle_gateway/config_watcher.py
+++ b/packages/gateway/src/damasksaddle_gateway/config_watcher.py
@@ -54,7 +54,8 @@
         super().__init__()
         self._table = table
         self._decoder = decoder
-        self._poll_s = drain_ms / 1000 * UPSTREAM_POLL_SHARE
+        # How long a draining upstream may receive new requests.
+        self.drain_ms = drain_ms
         self.config: RoutingConfig | None = None
         self.upstreams: dict[str, Upstream] = {}
         self._feed = TableFeed(
@@ -143,7 +144,7 @@
     @Service.task
     async def _follow_upstreams(self) -> None:
         while not self.should_stop:
-            interval_s = self._poll_s
+            interval_s = self.drain_ms / 1000 * UPSTREAM_POLL_SHARE
             try:
                 await self._read_upstreams()
             except (TableUnavailable, ResponseLost) as error:
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -22,7 +22,7 @@
 from damasksaddle_gateway.placement import Placement
 from damasksaddle_gateway.rate_limiter import RateLimiter
 from damasksaddle_gateway.request_handler import RequestHandler
-from damasksaddle_gateway.settings import Address, GatewaySettings
+from damasksaddle_gateway.settings import LIVE_SETTINGS, Address, GatewaySettings
 from damasksaddle_gateway.store import StoreCircuitBreaker
 from damasksaddle_gateway.token_buckets import TokenBuckets
 from damasksaddle_gateway.turns import TurnBudgets
@@ -55,7 +55,7 @@
         self._request_handler = request_handler
         self._membership = membership
         self._codec = codec
-        self._address_ttl_s = address_ttl_s
+        self.address_ttl_s = address_ttl_s
 
     async def ready(self, request: web.BaseRequest) -> web.Response:
         """Responds with 200 if this VM accepts new requests, and 503 otherwise."""
@@ -68,7 +68,7 @@
         )
         if not addresses:
             return web.Response(status=503)
-        body = self._codec.addresses_body(addresses, self._address_ttl_s)
+        body = self._codec.addresses_body(addresses, self.address_ttl_s)
         return web.json_response(body)
 
 
@@ -99,8 +99,9 @@
                 and await self.outage_detector.confirm()
             )
 
+        self.token_buckets = TokenBuckets(table, settings, may_grant_offline)
         self.rate_limiter = RateLimiter(
-            TokenBuckets(table, settings, may_grant_offline),
+            self.token_buckets,
             coordinators,
             self.config_watcher,
             settings,
@@ -173,6 +174,27 @@
         ).start()
         self._runners.append(runner)
 
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """
+        Replaces the settings that need no restart.
+
+        Logs the changed ones by name, and those that take effect after a restart.
+        """
+        changed = self.settings.changed_fields(settings)
+        log.info(
+            "The settings file has changed.",
+            applied=sorted(LIVE_SETTINGS.intersection(changed)),
+            after_restart=sorted(set(changed) - LIVE_SETTINGS),
+        )
+        self.settings = settings = self.settings.with_live_settings(settings)
+        self.token_buckets.settings = settings
+        self.rate_limiter.settings = settings
+        self.membership.settings = settings
+        self.config_watcher.drain_ms = settings.drain_ms
+        self.request_handler.key_revocation_ms = settings.key_revocation_ms
+        self.budgets.settle_s = settings.settle_ms / 1000
+        self.directory.address_ttl_s = settings.address_ttl_s
+
     async def drain(self) -> None:
         """
         Serves requests until callers have switched to other addresses and no request is
--- a/packages/gateway/src/damasksaddle_gateway/membership.py
+++ b/packages/gateway/src/damasksaddle_gateway/membership.py
@@ -81,7 +81,7 @@
     def __init__(self, table: StoreCircuitBreaker, settings: GatewaySettings) -> None:
         super().__init__()
         self._table = table
-        self._settings = settings
+        self.settings = settings
         self._members: dict[str, Member] = {}
         # Cached live members that are not leaving; None after a read that may change
         # them.
@@ -102,7 +102,7 @@
 
     def live_vms(self) -> list[str]:
         """Returns the live VMs that are not leaving, including this one."""
-        return [member.vm for member in self._live_members()] or [self._settings.vm]
+        return [member.vm for member in self._live_members()] or [self.settings.vm]
 
     def peer_address(self, vm: str) -> str | None:
         """
@@ -115,7 +115,7 @@
         """Returns the addresses for callers in a failure domain, local ones first."""
         live = self._live_members()
         if not self.is_ready():
-            live = [member for member in live if member.vm != self._settings.vm]
+            live = [member for member in live if member.vm != self.settings.vm]
         local = [member for member in live if member.failure_domain == failure_domain]
         if len(local) >= MIN_LOCAL_VMS:
             listed = _large_vms(local)
@@ -141,7 +141,7 @@
     def _is_live(self, member: Member) -> bool:
         if member.leaving:
             return False
-        if member.vm == self._settings.vm:
+        if member.vm == self.settings.vm:
             return not self._leaving
         # Ages are relative to the last successful read, so an unavailable table does
         # not make VMs look dead.
@@ -176,7 +176,7 @@
 
     def _is_registered(self) -> bool:
         """Tells whether this VM's row, as last read, is up to date."""
-        settings = self._settings
+        settings = self.settings
         known = self._members.get(settings.vm)
         return (
             known is not None
@@ -187,7 +187,7 @@
         )
 
     async def _register(self) -> None:
-        settings = self._settings
+        settings = self.settings
         value = {
             "callers": str(settings.caller_address),
             "peers": str(settings.peer_address),
@@ -202,7 +202,7 @@
         await self._write(HEARTBEATS_TABLE, str(self._heartbeat_count))
 
     async def _write(self, table: str, value: str) -> None:
-        key = row_key(table, PART, self._settings.vm)
+        key = row_key(table, PART, self.settings.vm)
         try:
             await self._table.commit([Put(key, value)])
         except PlatformError as error:
@@ -282,7 +282,7 @@
         for member in list(self._members.values()):
             if now_s - member.last_seen_s < REMOVE_AFTER_S:
                 continue
-            if rendezvous(member.vm, self.live_vms())[0] != self._settings.vm:
+            if rendezvous(member.vm, self.live_vms())[0] != self.settings.vm:
                 continue
             deletes = [
                 Put(row_key(TABLE, PART, member.vm), None, member.version),
--- a/packages/gateway/src/damasksaddle_gateway/rate_limiter.py
+++ b/packages/gateway/src/damasksaddle_gateway/rate_limiter.py
@@ -59,7 +59,7 @@
         self._token_buckets = token_buckets
         self._coordinators = coordinators
         self._config_watcher = config_watcher
-        self._settings = settings
+        self.settings = settings
         self._local_tokens: dict[str, _LocalTokens] = {}
 
     def register_handlers(self, handlers: Handlers) -> None:
@@ -92,7 +92,7 @@
             local_tokens.demand.record()
             count(Counter.RATE_TOKENS, "used")
             return
-        lifetime_s = token_lifetime_s(workspace, self._settings) * (
+        lifetime_s = token_lifetime_s(workspace, self.settings) * (
             1 - COORDINATOR_SHARE
         )
         prefetch = math.floor(local_tokens.demand.per_s() * lifetime_s * PREFETCH_SHARE)
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -135,16 +135,20 @@
         self._codec = codec
         self._relay = ResponseRelay(codec)
         self._known_upstreams: dict[str, Upstream] = {}
-        self._max_config_age_s = key_revocation_ms / 1000 * CONFIG_AGE_SHARE
+        # How long a withdrawn key may remain accepted.
+        self.key_revocation_ms = key_revocation_ms
         self.draining = False
         self.active_requests = 0
 
+    def _max_config_age_s(self) -> float:
+        return self.key_revocation_ms / 1000 * CONFIG_AGE_SHARE
+
     def is_ready(self) -> bool:
         """Tells whether this VM should get new requests."""
         return (
             not self.draining
             and self._config_watcher.config is not None
-            and self._config_watcher.config_age_s() < self._max_config_age_s
+            and self._config_watcher.config_age_s() < self._max_config_age_s()
         )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -254,7 +258,7 @@
         config = self._config_watcher.config
         if (
             config is None
-            or self._config_watcher.config_age_s() >= self._max_config_age_s
+            or self._config_watcher.config_age_s() >= self._max_config_age_s()
         ):
             raise NotFresh(retry_after_s=NOT_FRESH_RETRY_S)
         return config
--- a/packages/gateway/src/damasksaddle_gateway/settings.py
+++ b/packages/gateway/src/damasksaddle_gateway/settings.py
@@ -1,6 +1,21 @@
 """Settings of a gateway process, which a platform adapter fills in."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
+
+# Settings that a running process can change; the others need a restart.
+LIVE_SETTINGS = frozenset(
+    (
+        "grace_s",
+        "key_revocation_ms",
+        "drain_ms",
+        "address_ttl_s",
+        "rate_window_s",
+        "rate_overrun",
+        "rate_slack",
+        "settle_ms",
+        "cores",
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,3 +57,16 @@
     rate_slack: float
     settle_ms: float
     cores: float = 1.0
+
+    def changed_fields(self, other: "GatewaySettings") -> list[str]:
+        """Returns the names of the fields that differ."""
+        return [
+            field.name
+            for field in fields(self)
+            if getattr(self, field.name) != getattr(other, field.name)
+        ]
+
+    def with_live_settings(self, other: "GatewaySettings") -> "GatewaySettings":
+        """Returns these settings with those of `other` that need no restart."""
+        live = {name: getattr(other, name) for name in LIVE_SETTINGS}
+        return replace(self, **live)
--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -33,6 +33,9 @@
 # alone gets two responses per second.
 SILENCE_THRESHOLD_S = 0.6
 SILENCE_TIMEOUTS = 2.0
+# A store that rejects single calls because it gets too many is available. One that
+# accepted none of this VM's calls for this time turns the VM away.
+REJECTION_THRESHOLD_S = 1.0
 
 
 class StoreClock:
@@ -84,6 +87,7 @@
         self._failures = 0
         self._unavailable_since_s = 0.0
         self._last_answer_s = -math.inf
+        self._last_success_s = -math.inf
         self._was_slow = False
         # Writes whose answers may still arrive after their callers gave up.
         self._writes: set[asyncio.Task[Page]] = set()
@@ -203,9 +207,11 @@
     async def _track(self, call: Awaitable[Result]) -> Result:
         try:
             result = await call
-        except TableOverloaded:
-            # The store responded, so it is not unavailable.
-            self._record_success()
+        except TableOverloaded as error:
+            if boottime_s() - self._last_success_s > REJECTION_THRESHOLD_S:
+                self._record_failure(error)
+            else:
+                self._last_answer_s = boottime_s()
             raise
         except (TableUnavailable, ResponseLost) as error:
             self._record_failure(error)
@@ -231,7 +237,7 @@
             log.info("The store is available again.", away_s=unavailable_s)
             self.unavailable.clear()
         self._failures = 0
-        self._last_answer_s = boottime_s()
+        self._last_answer_s = self._last_success_s = boottime_s()
 
 
 async def _first_answer(
--- a/packages/gateway/src/damasksaddle_gateway/token_buckets.py
+++ b/packages/gateway/src/damasksaddle_gateway/token_buckets.py
@@ -173,7 +173,7 @@
         may_grant_offline: Callable[[str], Awaitable[bool]],
     ) -> None:
         self._table = table
-        self._settings = settings
+        self.settings = settings
         self._may_grant_offline = may_grant_offline
         self._buckets: dict[str, _Bucket] = {}
         self._arrivals = itertools.count()
@@ -342,7 +342,7 @@
     def _draw_size(self, bucket: _Bucket, workspace: Workspace) -> int:
         # Requests that arrive while a slow store handles the draw are covered by it.
         prefetch_s = self._table.latency.extra_write_s() + (
-            token_lifetime_s(workspace, self._settings)
+            token_lifetime_s(workspace, self.settings)
             * COORDINATOR_SHARE
             * PREFETCH_SHARE
         )
@@ -352,7 +352,7 @@
     def _make_available(
         self, bucket: _Bucket, workspace: Workspace, granted: float
     ) -> None:
-        lifetime_s = token_lifetime_s(workspace, self._settings) * COORDINATOR_SHARE
+        lifetime_s = token_lifetime_s(workspace, self.settings) * COORDINATOR_SHARE
         bucket.available.tokens = granted
         bucket.available.expires_s = boottime_s() + lifetime_s
 
--- a/tests/gateway/test_slow_store.py
+++ b/tests/gateway/test_slow_store.py
@@ -11,7 +11,7 @@
 from damasksaddle_gateway.routing_config import Workspace
 from damasksaddle_gateway.rows import CachedRow, update_row
 from damasksaddle_gateway.settings import Address
-from damasksaddle_gateway.store import StoreCircuitBreaker
+from damasksaddle_gateway.store import REJECTION_THRESHOLD_S, StoreCircuitBreaker
 from damasksaddle_gateway.store_latency import MAX_TIMEOUT_S, LatencyEstimator
 from damasksaddle_gateway.token_buckets import TokenBuckets
 from damasksaddle_standins.versioned_table import MemoryVersionedTable, VersionedRows
@@ -155,10 +155,17 @@
         while True:
             rows.enqueue("beats/vms/vm")
     rows.slowdown = 1.0
+    await breaker.page("servers//")
     for _ in range(5):
         with pytest.raises(TableOverloaded):
             await breaker.commit([Put("beats/vms/vm", "1")])
     assert breaker.is_available()
+    # Without any other answer for some time, the store turns this VM away.
+    await asyncio.sleep(REJECTION_THRESHOLD_S)
+    for _ in range(3):
+        with pytest.raises(TableOverloaded):
+            await breaker.commit([Put("beats/vms/vm", "1")])
+    assert not breaker.is_available()
 
 
 async def test_a_repeated_write_has_the_value_of_the_first(
