Wait for the last frames of streams in a planned stop, and give tests their own ports

Ports of gateway tests were guessed free and announced before they were bound. Change: a peer server counts streams until their last frame is sent, and leave waits for them. Each gateway of a test has a loopback address of its own. A failed test prints the output of its processes.

--- a/packages/node/src/damasksaddle_node/node.py
+++ b/packages/node/src/damasksaddle_node/node.py
@@ -348,13 +348,23 @@
                 await self._release_ownership()
                 await self.owner.partition_manager.close_all()
                 await asyncio.sleep(timing.hold_s)
-                while self.entry.open_calls or self.owner.runs:
+                while self._has_open_calls():
                     await asyncio.sleep(0.05)
         except TimeoutError:
             log.warning("The graceful shutdown timed out.", vm=self.vm_id)
         await self.record_left()
         log.info("Left the fleet.", vm=self.vm_id)
 
+    def _has_open_calls(self) -> bool:
+        """
+        Tells whether a call runs, or its response is still being sent.
+
+        A call that this VM ran for another one has ended before its last frame is sent.
+        """
+        return bool(
+            self.entry.open_calls or self.owner.runs or self.server.active_streams
+        )
+
     async def record_left(self) -> None:
         """
         Records that this VM has left the fleet, if the table can be written.
--- a/packages/node/src/damasksaddle_node/peers/server.py
+++ b/packages/node/src/damasksaddle_node/peers/server.py
@@ -91,11 +91,13 @@
         epoch: Callable[[], int],
     ) -> None:
         self.address = ""
+        # Streamed responses that have not been written completely.
+        self.active_streams = 0
         self._vm_id = vm_id
         self._secret = secret
         self._network = network
-        self._handlers = handlers
-        self._epoch = epoch
+        self.handlers = handlers
+        self.epoch = epoch
         self._close: CloseCallback | None = None
         self._connections: set[asyncio.Task[None]] = set()
 
@@ -122,9 +124,7 @@
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 peer = await server_handshake(reader, writer, self._vm_id, self._secret)
-            await _PeerConnection(
-                peer, reader, writer, self._handlers, self._epoch
-            ).run()
+            await _PeerConnection(self, peer, reader, writer).run()
         except PeerError as error:
             log.warning("A peer connection was rejected.", reason=error)
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
@@ -141,17 +141,15 @@
 
     def __init__(
         self,
+        server: "PeerServer",
         peer: str,
         reader: asyncio.StreamReader,
         writer: FrameWriter,
-        handlers: Handlers,
-        epoch: Callable[[], int],
     ) -> None:
+        self._server = server
         self._peer = peer
         self._reader = reader
         self._writer = BatchedWriter(writer)
-        self._handlers = handlers
-        self._epoch = epoch
         self._requests: dict[int, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
@@ -185,9 +183,18 @@
     async def _handle_request(self, frame: Frame) -> None:
         timeout_s = frame.deadline_ms / 1000 if frame.deadline_ms else None
         sender = Sender(self._peer, frame.epoch, timeout_s)
+        streams = type(frame.message) in self._server.handlers.streaming
+        self._server.active_streams += streams
+        try:
+            await self._respond(frame, sender)
+        finally:
+            self._server.active_streams -= streams
+
+    async def _respond(self, frame: Frame, sender: Sender) -> None:
+        handlers = self._server.handlers
         with suppress(OSError):
             try:
-                async for response in self._handlers.handle(frame.message, sender):
+                async for response in handlers.handle(frame.message, sender):
                     self._write(frame.request_id, response)
                     await self._writer.drain()
             except Refusal as error:
@@ -204,4 +211,4 @@
             await self._writer.drain()
 
     def _write(self, request_id: int, message: Message) -> None:
-        self._writer.write(pack_frame(Frame(request_id, message, self._epoch())))
+        self._writer.write(pack_frame(Frame(request_id, message, self._server.epoch())))
--- a/packages/standins/src/damasksaddle_standins/processes.py
+++ b/packages/standins/src/damasksaddle_standins/processes.py
@@ -9,6 +9,8 @@
 
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 5.0
+# Length of the output of the processes that is shown if a test fails.
+MAX_SHOWN_CHARS = 20_000
 
 
 @dataclass(slots=True)
@@ -39,7 +41,10 @@
     async def __aenter__(self) -> "Processes":
         return self
 
-    async def __aexit__(self, *_: object) -> None:
+    async def __aexit__(self, error_type: object, *_: object) -> None:
+        if error_type is not None and self.log_path.exists():
+            # pytest shows what a failed test has printed.
+            print(self.log_path.read_text(errors="replace")[-MAX_SHOWN_CHARS:])
         for process in self.started:
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
--- a/tests/gateway/test_slow_store.py
+++ b/tests/gateway/test_slow_store.py
@@ -145,23 +145,28 @@
                 assert {len(member.live_vms()) for member in members} == {9}
 
 
+def _fill_partition(rows: VersionedRows, key: str) -> None:
+    rows.slowdown = 150.0
+    with pytest.raises(TableOverloaded):
+        while True:
+            rows.enqueue(key)
+    rows.slowdown = 1.0
+
+
 async def test_a_store_that_rejects_excess_calls_is_available(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
     """Guards against an outage that is declared because of rejected calls."""
     breaker = StoreCircuitBreaker(table)
-    rows.slowdown = 150.0
-    with pytest.raises(TableOverloaded):
-        while True:
-            rows.enqueue("beats/vms/vm")
-    rows.slowdown = 1.0
     await breaker.page("servers//")
+    _fill_partition(rows, "beats/vms/vm")
     for _ in range(5):
         with pytest.raises(TableOverloaded):
             await breaker.commit([Put("beats/vms/vm", "1")])
     assert breaker.is_available()
     # Without any other answer for some time, the store turns this VM away.
     await asyncio.sleep(REJECTION_THRESHOLD_S)
+    _fill_partition(rows, "beats/vms/vm")
     for _ in range(3):
         with pytest.raises(TableOverloaded):
             await breaker.commit([Put("beats/vms/vm", "1")])
--- a/tests/node/peers/test_server.py
+++ b/tests/node/peers/test_server.py
@@ -13,6 +13,7 @@
     Acquire,
     Acquired,
     CallChunk,
+    CallEnd,
     Cancel,
     Failure,
     Frame,
@@ -145,3 +146,38 @@
         writer.write(pack_frame(Frame(4, CallChunk("no request"))))
         response = (await read_frame(reader)).message
         assert isinstance(response, Failure) and response.not_run == "true"
+
+
+async def test_a_stream_is_active_until_its_last_frame_is_sent():
+    """
+    Guards against a planned stop that cuts a stream whose call has just ended.
+
+    Seen under load: a stream had all of its text, but not its end.
+    """
+    async with ServerHarness() as harness:
+        sent = []
+
+        async def respond(message, sender):
+            for text in ("one", "two"):
+                yield CallChunk(text)
+                await asyncio.sleep(1.0)
+            sent.append("end")
+            yield CallEnd(b"{}")
+
+        harness.server.handlers.add_streaming(Acquire, respond)
+        harness.server.handlers.unary.clear()
+        reader, writer = await harness.connect("peer")
+        await client_handshake(reader, writer, "peer-1", SECRET)
+        writer.write(pack_frame(Frame(1, Acquire("ws", 0))))
+        assert (await read_frame(reader)).message == CallChunk("one")
+        assert (harness.server.active_streams, sent) == (1, [])
+        async with asyncio.timeout(10):
+            while (await read_frame(reader)).message != CallEnd(b"{}"):
+                pass
+        await asyncio.sleep(0.1)
+        assert harness.server.active_streams == 0
+        writer.write(pack_frame(Frame(2, Acquire("ws", 0))))
+        await read_frame(reader)
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert harness.server.active_streams == 0
--- a/tests/platform/test_gateway_processes.py
+++ b/tests/platform/test_gateway_processes.py
@@ -1,7 +1,9 @@
 """Tests gateway processes with a simulated store and a simulated upstream."""
 
 import asyncio
+import itertools
 import json
+import os
 import signal
 import sys
 from collections.abc import AsyncIterator
@@ -25,6 +27,18 @@
 EVENTS_PER_TURN = 8
 BUDGET_TOKENS = 3 * TOKENS_PER_EVENT * EVENTS_PER_TURN
 START_TIMEOUT_S = 20.0
+# Each VM has a loopback address of its own, so no other process takes its ports. They
+# are below the range from which the system chooses ports.
+FRONTEND_PORT, READY_PORT, DIRECTORY_PORT = 8360, 8361, 8362
+INTERNAL_PORTS = [8370, 8371]
+MAX_SHOWN_CHARS = 20_000
+_vm_numbers = itertools.count(1)
+
+
+def new_host() -> str:
+    """Returns a loopback address that no other test uses."""
+    # The soak of this process uses lower numbers in the third place.
+    return f"127.{1 + os.getpid() % 250}.251.{next(_vm_numbers) % 250}"
 
 
 def _config_json(version: int, keys: list[str]) -> str:
@@ -76,19 +90,18 @@
         await response.write_eof()
         return response
 
-    async def start(self, name: str, ports: list[int]) -> asyncio.subprocess.Process:
+    async def start(self, name: str, host: str) -> asyncio.subprocess.Process:
         """Starts a gateway process and waits until it is ready."""
-        host = "127.0.0.1"
         settings = {
             "NodeName": name,
             "Ip": host,
             "Zone": "a",
             "Listen": {
-                "Frontend": f"{host}:{ports[0]}",
-                "Ready": f"{host}:{ports[1]}",
-                "Directory": f"{host}:{ports[2]}",
+                "Frontend": f"{host}:{FRONTEND_PORT}",
+                "Ready": f"{host}:{READY_PORT}",
+                "Directory": f"{host}:{DIRECTORY_PORT}",
             },
-            "InternalPorts": [ports[3], ports[4]],
+            "InternalPorts": INTERNAL_PORTS,
             "Bounds": {"GraceS": 4, "RevokeMs": 3000},
             "Platform": {"Address": self.store_address},
         }
@@ -106,7 +119,7 @@
             )
         self.processes.append(process)
         async with asyncio.timeout(START_TIMEOUT_S):
-            while await get_status(f"http://{host}:{ports[1]}/readyz") != 200:
+            while await get_status(f"http://{host}:{READY_PORT}/readyz") != 200:
                 await asyncio.sleep(0.05)
         return process
 
@@ -121,7 +134,7 @@
 
 
 async def send_turn(
-    port: int, request_id: str, program: str = "p1"
+    host: str, request_id: str, program: str = "p1"
 ) -> tuple[int, bytes]:
     """Sends a turn to a gateway and returns the status and body."""
     headers = {
@@ -134,7 +147,7 @@
         "X-Token-Count": f"10,{TOKENS_PER_EVENT * EVENTS_PER_TURN}",
         "X-Token-Budget": str(BUDGET_TOKENS),
     }
-    url = f"http://127.0.0.1:{port}/turn/x"
+    url = f"http://{host}:{FRONTEND_PORT}/turn/x"
     async with (
         aiohttp.ClientSession() as session,
         session.post(url, headers=headers, data=b"{}") as response,
@@ -154,6 +167,12 @@
     return runner, f"{host}:{port}"
 
 
+def show_logs(directory: Path) -> None:
+    """Prints the logs of all gateways; pytest shows them for a failed test."""
+    for log_path in sorted(directory.glob("*.log")):
+        print(log_path.name, log_path.read_text()[-MAX_SHOWN_CHARS:])
+
+
 @asynccontextmanager
 async def run_fleet(directory: Path) -> AsyncIterator[Fleet]:
     rows = VersionedRows()
@@ -173,6 +192,9 @@
     rows.apply([Put("servers//i-1", json.dumps(server))])
     try:
         yield fleet
+    except BaseException:
+        show_logs(directory)
+        raise
     finally:
         for process in fleet.processes:
             if process.returncode is None:
@@ -182,69 +204,55 @@
         await store_runner.cleanup()
 
 
-def free_ports(unused_tcp_port_factory: Any) -> list[int]:
-    """Returns ports for callers, readiness, directory, metrics and peers."""
-    while True:
-        ports = [unused_tcp_port_factory() for _ in range(4)]
-        # The port for peers is the one after the port for metrics.
-        return [*ports, ports[3] + 1]
-
-
-async def test_budget_survives_killed_processes(
-    tmp_path: Path, unused_tcp_port_factory: Any
-) -> None:
+async def test_budget_survives_killed_processes(tmp_path: Path) -> None:
     """Guards against resetting a program's budget when all gateways are killed."""
     async with run_fleet(tmp_path) as fleet:
-        ports = [free_ports(unused_tcp_port_factory) for _ in range(2)]
-        processes = [await fleet.start(f"vm-{n}", ports[n]) for n in range(2)]
+        hosts = [new_host() for _ in range(2)]
+        processes = [await fleet.start(f"vm-{n}", hosts[n]) for n in range(2)]
         for n in range(2):
-            status, body = await send_turn(ports[n][0], f"r{n}")
+            status, body = await send_turn(hosts[n], f"r{n}")
             assert (status, body.count(b"data:")) == (200, EVENTS_PER_TURN)
         for process in processes:
             process.kill()
             await process.wait()
-        await fleet.start("vm-0", ports[0])
-        statuses = [(await send_turn(ports[0][0], f"s{n}"))[0] for n in range(2)]
+        await fleet.start("vm-0", hosts[0])
+        statuses = [(await send_turn(hosts[0], f"s{n}"))[0] for n in range(2)]
         assert statuses[-1] == 402
         assert len(fleet.run_request_ids) <= 3
 
 
-async def test_graceful_shutdown_completes_streams(
-    tmp_path: Path, unused_tcp_port_factory: Any
-) -> None:
+async def test_graceful_shutdown_completes_streams(tmp_path: Path) -> None:
     """Guards against a shutdown that interrupts responses or exceeds its time limit."""
     async with run_fleet(tmp_path) as fleet:
-        ports = free_ports(unused_tcp_port_factory)
-        process = await fleet.start("vm-0", ports)
+        host = new_host()
+        process = await fleet.start("vm-0", host)
         fleet.event_interval_s = 0.15
-        streaming_turn = asyncio.create_task(send_turn(ports[0], "r1"))
+        streaming_turn = asyncio.create_task(send_turn(host, "r1"))
         while not fleet.run_request_ids:
             await asyncio.sleep(0.01)
         process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.2)
-        assert await get_status(f"http://127.0.0.1:{ports[1]}/readyz") == 503
+        assert await get_status(f"http://{host}:{READY_PORT}/readyz") == 503
         # Callers that still use the address are served.
-        assert (await send_turn(ports[0], "r2", "p2"))[0] == 200
+        assert (await send_turn(host, "r2", "p2"))[0] == 200
         status, body = await streaming_turn
         assert (status, body.count(b"data:")) == (200, EVENTS_PER_TURN)
         async with asyncio.timeout(4.0):
             assert await process.wait() == 0
 
 
-async def test_withdrawn_key_is_refused_after_a_store_outage(
-    tmp_path: Path, unused_tcp_port_factory: Any
-) -> None:
+async def test_withdrawn_key_is_refused_after_a_store_outage(tmp_path: Path) -> None:
     """Guards against accepting a withdrawn key while the store rejects the gateway."""
     async with run_fleet(tmp_path) as fleet:
-        ports = free_ports(unused_tcp_port_factory)
-        await fleet.start("vm-0", ports)
-        assert (await send_turn(ports[0], "r1"))[0] == 200
+        host = new_host()
+        await fleet.start("vm-0", host)
+        assert (await send_turn(host, "r1"))[0] == 200
         fleet.store.refused_addresses.add("127.0.0.1")
         fleet.rows.apply([Put("op//config", _config_json(2, []))])
         await asyncio.sleep(3.0)
-        assert (await send_turn(ports[0], "r2", "p2"))[0] == 503
-        assert await get_status(f"http://127.0.0.1:{ports[1]}/readyz") == 503
+        assert (await send_turn(host, "r2", "p2"))[0] == 503
+        assert await get_status(f"http://{host}:{READY_PORT}/readyz") == 503
         fleet.store.refused_addresses.clear()
         await asyncio.sleep(1.5)
-        assert (await send_turn(ports[0], "r3", "p3"))[0] == 401
+        assert (await send_turn(host, "r3", "p3"))[0] == 401
         assert fleet.run_request_ids == ["r1"]
