--- a/packages/cli/src/damasksaddle_cli/commands/fleet.py
+++ b/packages/cli/src/damasksaddle_cli/commands/fleet.py
@@ -18,11 +18,47 @@
     return [[owner, len(owners[owner]), owners[owner]] for owner in sorted(owners)]
 
 
+def summarize_vms(items: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Returns the number of VMs of each failure domain, and of those that leave."""
+    domains: dict[str, list[dict[str, Any]]] = defaultdict(list)
+    for vm in items:
+        domains[vm["failure_domain"]].append(vm)
+    return [
+        {
+            "failure_domain": domain,
+            "vms": len(domains[domain]),
+            "leaving": sum(bool(vm["leaving"]) for vm in domains[domain]),
+        }
+        for domain in sorted(domains)
+    ]
+
+
 @click.command()
+@click.option("--failure-domain", help="Show only the VMs of this failure domain.")
+@click.option("--leaving", is_flag=True, help="Show only VMs that are leaving.")
+@click.option("--summary", is_flag=True, help="Count the VMs of each failure domain.")
 @format_option
 @pass_client
-def vms(client: AdminClient, as_format: str) -> None:
+def vms(
+    client: AdminClient,
+    failure_domain: str | None,
+    leaving: bool,
+    summary: bool,
+    as_format: str,
+) -> None:
     """Lists the VMs of the fleet."""
+    selected = [
+        vm
+        for vm in client.request("GET", admin_path("vms"))
+        if failure_domain in (None, vm["failure_domain"])
+        and (vm["leaving"] or not leaving)
+    ]
+
+    def format_summary(items: list[dict[str, Any]]) -> str:
+        return format_table(
+            ["failure domain", "vms", "leaving"],
+            [list(item.values()) for item in items],
+        )
 
     def format_text(items: list[dict[str, Any]]) -> str:
         return format_table(
@@ -39,7 +75,10 @@
             ],
         )
 
-    print_result(client.request("GET", admin_path("vms")), as_format, format_text)
+    if summary:
+        print_result(summarize_vms(selected), as_format, format_summary)
+    else:
+        print_result(selected, as_format, format_text)
 
 
 @click.command()
--- a/packages/core/src/damasksaddle/utils/__init__.py
+++ b/packages/core/src/damasksaddle/utils/__init__.py
@@ -3,7 +3,7 @@
 from damasksaddle.utils.clock import boottime_s, unix_s
 from damasksaddle.utils.hashing import PARTITIONS, digest_of, partition_of, rendezvous
 from damasksaddle.utils.ids import new_id, seed_ids
-from damasksaddle.utils.logs import configure_logging, get_logger
+from damasksaddle.utils.logs import LogFormat, configure_logging, get_logger
 from damasksaddle.utils.metrics import (
     Counter,
     Timing,
@@ -16,6 +16,7 @@
 
 __all__ = [
     "Counter",
+    "LogFormat",
     "PARTITIONS",
     "Timing",
     "count",
--- a/packages/core/src/damasksaddle/utils/logs.py
+++ b/packages/core/src/damasksaddle/utils/logs.py
@@ -1,13 +1,16 @@
 """
 Structured logging: one line per event, with the name of the component.
 
-Fields are appended as `name=value`, so that lines are readable and can be parsed.
+Fields are appended as `name=value`, so that lines are readable and can be parsed, or
+each line is a JSON object with the same fields.
 """
 
+import json
 import os
 import select
 import sys
 import time
+from enum import StrEnum
 from typing import Any
 
 import logbook
@@ -19,10 +22,15 @@
 MAX_LINES_PER_S = 1000
 BURST_LINES = 4000
 
-FORMAT = (
-    "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
-    "{record.channel}: {record.message}{record.extra[fields]}"
-)
+# Length to which the values of a JSON line are cut if the line is too long.
+MAX_VALUE_CHARS = 200
+
+
+class LogFormat(StrEnum):
+    """How log lines are written."""
+
+    TEXT = "text"
+    JSON = "json"
 
 
 class ComponentLogger:
@@ -32,20 +40,41 @@
         self._logger = logbook.Logger(component)
 
     def debug(self, message: str, **fields: Any) -> None:
-        self._logger.debug(message, extra={"fields": _format_fields(fields)})
+        self._logger.debug(message, extra={"fields": fields})
 
     def info(self, message: str, **fields: Any) -> None:
-        self._logger.info(message, extra={"fields": _format_fields(fields)})
+        self._logger.info(message, extra={"fields": fields})
 
     def warning(self, message: str, **fields: Any) -> None:
-        self._logger.warning(message, extra={"fields": _format_fields(fields)})
+        self._logger.warning(message, extra={"fields": fields})
 
     def error(self, message: str, **fields: Any) -> None:
-        self._logger.error(message, extra={"fields": _format_fields(fields)})
-
-
-def _format_fields(fields: dict[str, Any]) -> str:
-    return "".join(f" {name}={value}" for name, value in fields.items())
+        self._logger.error(message, extra={"fields": fields})
+
+
+def _format_text(record: logbook.LogRecord, fields: dict[str, Any]) -> bytes:
+    text = "".join(f" {name}={value}" for name, value in fields.items())
+    line = (
+        f"{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
+        f"{record.channel}: {record.message}{text}"
+    )
+    return line.replace("\n", "\\n").encode()[: MAX_LINE_BYTES - 1]
+
+
+def _format_json(record: logbook.LogRecord, fields: dict[str, Any]) -> bytes:
+    """Returns a JSON object; long values are cut, so that it stays valid."""
+    values = {
+        "time": f"{record.time:%Y-%m-%dT%H:%M:%S.%f}",
+        "level": record.level_name,
+        "component": record.channel,
+        "message": record.message,
+        **fields,
+    }
+    line = json.dumps(values, default=str).encode()
+    if len(line) >= MAX_LINE_BYTES:
+        cut = {name: str(value)[:MAX_VALUE_CHARS] for name, value in values.items()}
+        line = json.dumps(cut).encode()
+    return line
 
 
 def get_logger(component: str) -> ComponentLogger:
@@ -53,7 +82,7 @@
     return ComponentLogger(component)
 
 
-class NonBlockingHandler(logbook.Handler, logbook.StringFormatterHandlerMixin):
+class NonBlockingHandler(logbook.Handler):
     """
     Writes lines to a file descriptor without blocking on a slow reader.
 
@@ -62,9 +91,11 @@
     the next line that is written reports the number of dropped lines.
     """
 
-    def __init__(self, level: str, descriptor: int) -> None:
-        logbook.Handler.__init__(self, level)
-        logbook.StringFormatterHandlerMixin.__init__(self, FORMAT)
+    def __init__(
+        self, level: str, descriptor: int, log_format: LogFormat = LogFormat.TEXT
+    ) -> None:
+        super().__init__(level)
+        self._log_format = log_format
         self._descriptor = descriptor
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
@@ -77,12 +108,16 @@
         if not self._admit() or not self._poll.poll(0):
             self.dropped += 1
             return
-        line = self.format(record)
+        fields = dict(record.extra["fields"] or {})
         if self.dropped:
-            line += f" dropped_before={self.dropped}"
-        data = line.replace("\n", "\\n").encode()[: MAX_LINE_BYTES - 1] + b"\n"
+            fields["dropped_before"] = self.dropped
+        match self._log_format:
+            case LogFormat.TEXT:
+                line = _format_text(record, fields)
+            case LogFormat.JSON:
+                line = _format_json(record, fields)
         try:
-            os.write(self._descriptor, data)
+            os.write(self._descriptor, line + b"\n")
         except OSError:
             # The reader of the log is gone; the process must continue.
             self.dropped += 1
@@ -100,6 +135,9 @@
         return True
 
 
-def configure_logging(level: str) -> None:
+def configure_logging(level: str, log_format: str = LogFormat.TEXT) -> None:
     """Writes log lines of this level and above to standard output."""
-    NonBlockingHandler(level.upper(), sys.stdout.fileno()).push_application()
+    handler = NonBlockingHandler(
+        level.upper(), sys.stdout.fileno(), LogFormat(log_format)
+    )
+    handler.push_application()
--- a/packages/node/src/damasksaddle_node/commands/serve.py
+++ b/packages/node/src/damasksaddle_node/commands/serve.py
@@ -142,7 +142,7 @@
     provided = {name: value for name, value in options.items() if value is not None}
     settings = check_settings(provided)
     tls = load_tls(settings.tls)
-    configure_logging(settings.log_level)
+    configure_logging(settings.log_level, settings.log_format)
     return asyncio.run(serve(settings, tls))
 
 
--- a/packages/node/src/damasksaddle_node/settings.py
+++ b/packages/node/src/damasksaddle_node/settings.py
@@ -80,5 +80,6 @@
     metrics_host: str = "127.0.0.1"
     metrics_port: int = 0
     log_level: str = "info"
+    log_format: str = "text"
     timing: Timing = Timing()
     tls: TlsFiles = TlsFiles()
--- a/packages/node/src/damasksaddle_node/settings_input.py
+++ b/packages/node/src/damasksaddle_node/settings_input.py
@@ -199,6 +199,9 @@
     log_level: Literal["debug", "info", "warning", "error"] = Field(
         "info", description="Lowest level that is logged."
     )
+    log_format: Literal["text", "json"] = Field(
+        "text", description="Whether log lines are text or JSON objects."
+    )
 
     @model_validator(mode="after")
     def _check_constraints(self) -> "SettingsInput":
