--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -36,6 +36,8 @@
 # A store that rejects single calls because it gets too many is available. One that
 # accepted none of this VM's calls for this time turns the VM away.
 REJECTION_THRESHOLD_S = 1.0
+# Single late answers do not make a store slow.
+SLOW_CONFIRMATION_S = 1.0
 
 
 class StoreClock:
@@ -89,6 +91,8 @@
         self._last_answer_s = -math.inf
         self._last_success_s = -math.inf
         self._was_slow = False
+        # When the store was last as slow or as fast as the last log line says.
+        self._unchanged_s: float | None = None
         # Writes whose answers may still arrive after their callers gave up.
         self._writes: set[asyncio.Task[Page]] = set()
         self.latency = StoreLatency()
@@ -168,9 +172,13 @@
         self._log_if_slow()
 
     def _log_if_slow(self) -> None:
-        """Logs that the store became slow, or that it is fast again."""
-        if self.latency.is_slow() == self._was_slow:
+        """Logs that the store became slow, or that it is fast again, for some time."""
+        now_s = boottime_s()
+        if self._unchanged_s is None or self.latency.is_slow() == self._was_slow:
+            self._unchanged_s = now_s
+        if now_s - self._unchanged_s < SLOW_CONFIRMATION_S:
             return
+        self._unchanged_s = now_s
         self._was_slow = not self._was_slow
         expected_ms = round(self.latency.write_s() * 1000)
         if self._was_slow:
