--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -102,6 +102,16 @@
         raise BodyTimeout from error
 
 
+def _exceeds_engine_memory(call: Call) -> bool:
+    """Tells whether no engine of the service can ever run a request."""
+    engine = call.service.engine
+    if engine is None or not engine.kv_capacity_tokens:
+        return False
+    metadata = call.metadata
+    needed_tokens = metadata.prompt_tokens + metadata.max_output_tokens
+    return needed_tokens > engine.kv_capacity_tokens
+
+
 def check_header_size(request: web.BaseRequest, limit_bytes: int) -> None:
     """Raises `HeadersTooLarge` if the headers exceed the limit."""
     size_bytes = sum(
@@ -240,6 +250,8 @@
             last_event_id=metadata.last_event_id,
             draining=self.draining,
         )
+        if _exceeds_engine_memory(call):
+            raise UpstreamUnavailable("the request exceeds an engine's memory")
         if workspace is not None:
             await self._rate_limiter.acquire(
                 workspace,
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -504,3 +504,13 @@
         status, _, _ = await gateway.send("/once/x")
         assert status == 503
         assert len(gateway.received) == 1
+
+
+async def test_a_request_that_exceeds_an_engines_memory_is_refused_at_once() -> None:
+    """Guards against a request that every engine rejects as if it were full."""
+    async with run_gateway(respond_ok) as gateway:
+        counts = {"X_Token_Count": "900,200", "X_Program_Id": "p"}
+        started_s = asyncio.get_running_loop().time()
+        status, _, _ = await gateway.send("/turn/x", **counts)
+        assert (status, gateway.received) == (503, [])
+        assert asyncio.get_running_loop().time() - started_s < 0.1
