Let calls wait for their rate as long as their time allows

Cause: with bursts of about 8 and rates of 8 a second, three waiting requests were more than a tool call's 0.4 of its time, so calls of running programs were refused at once; a program fails with one call that fails. Change: a call of a plain service waits 0.75 of its time at most, a stream 0.45 (callers abandon one that does not start within two seconds).

--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -44,6 +44,7 @@
     AtMostOnce,
     Idempotent,
     Limits,
+    RouteKind,
     RoutingConfig,
     Streaming,
     Upstream,
@@ -67,9 +68,12 @@
 # Retry-After of refusals for temporary conditions.
 NOT_FRESH_RETRY_S = 0.5
 NO_UPSTREAM_RETRY_S = 0.2
-# Shares of a request's timeout that it may wait for its rate and for its budget. Most
-# requests take a small part of their time to run.
-RATE_WAIT_SHARE = 0.4
+# Shares of a request's timeout that it may wait for its rate. A program fails with a
+# single call that fails, and most calls take a small part of their time to run. Callers
+# abandon a stream that does not start within two seconds.
+CALL_RATE_WAIT_SHARE = 0.75
+STREAM_RATE_WAIT_SHARE = 0.45
+# Share of a request's timeout that it may wait for its budget.
 BUDGET_WAIT_SHARE = 0.2
 # Number of upstream rejections after which a request is refused.
 MAX_REJECTIONS = 6
@@ -102,6 +106,15 @@
         raise BodyTimeout from error
 
 
+def _rate_wait_share(kind: RouteKind) -> float:
+    """Returns the share of its time that a request may wait for its rate."""
+    match kind:
+        case Streaming():
+            return STREAM_RATE_WAIT_SHARE
+        case Idempotent() | AtMostOnce():
+            return CALL_RATE_WAIT_SHARE
+
+
 def _exceeds_engine_memory(call: Call) -> bool:
     """Tells whether no engine of the service can ever run a request."""
     engine = call.service.engine
@@ -255,7 +268,7 @@
         if workspace is not None:
             await self._rate_limiter.acquire(
                 workspace,
-                time_ms / 1000 * RATE_WAIT_SHARE,
+                time_ms / 1000 * _rate_wait_share(route.kind),
                 metadata,
                 route.priority == config.most_urgent_priority(),
             )
