Count suspensions from the start of the process, and move test loads to the stand-ins

Traced: the difference of the two clocks at start, some hundred nanoseconds, differs from process to process and is part of every sum with the loop's time, so rounding decided ties. Change: suspended time is 0 at the start of a process. The load of programs, the endless server and the generator of deployments are stand-ins that tests and a benchmark share; python -m damasksaddle_standins store-bench.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 bench: setup
 	$(BIN)/python -m damasksaddle_standins bench --directory build/bench
+	$(BIN)/python -m damasksaddle_standins store-bench
 
 SEED ?= 1
 MINUTES ?= 1
--- a/packages/core/src/damasksaddle/utils/clock.py
+++ b/packages/core/src/damasksaddle/utils/clock.py
@@ -24,11 +24,17 @@
     MAX_READS = 100
 
     def __init__(self) -> None:
-        self._suspended_ns = self._read_ns()
+        self._started_ns = self._read_ns()
+        self._suspended_ns = 0
 
     def suspended_s(self) -> float:
-        """Returns the total time of suspensions in seconds; it never decreases."""
-        suspended_ns = self._read_ns()
+        """
+        Returns for how many seconds the VM was suspended since the process started.
+
+        The result never decreases. It is exactly 0 without a suspension, so that sums
+        with the loop's time are the same in every process.
+        """
+        suspended_ns = self._read_ns() - self._started_ns
         if suspended_ns - self._suspended_ns >= self.MIN_SUSPENSION_NS:
             self._suspended_ns = suspended_ns
         return self._suspended_ns / 1e9
--- a/packages/standins/src/damasksaddle_standins/__main__.py
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -15,6 +15,7 @@
 from damasksaddle_standins.demo import run_demo
 from damasksaddle_standins.engine import EngineSettings, ModelEngine
 from damasksaddle_standins.faults import run_fault_injection
+from damasksaddle_standins.gateway_load import run_store_bench
 from damasksaddle_standins.platform import MemoryObjects, MemoryTable
 from damasksaddle_standins.recording import Recorder
 from damasksaddle_standins.servers import engine_app, platform_app, tool_app
@@ -113,6 +114,12 @@
     click.echo(run_bench(directory, list(seeds), workers))
 
 
+@main.command("store-bench")
+def store_bench() -> None:
+    """Plays programs of a gateway before stores of several speeds."""
+    click.echo(run_store_bench())
+
+
 @main.command("slopes")
 @click.option("--nodes", multiple=True, default=(3, 6, 12, 24), type=int)
 @click.option("--workspaces", multiple=True, default=(10, 100, 400), type=int)
--- a/tests/core/utils/test_clock.py
+++ b/tests/core/utils/test_clock.py
@@ -36,6 +36,7 @@
     clocks = Clocks(monkeypatch)
     clock = SuspensionClock()
     started_s = clock.suspended_s()
+    assert started_s == 0.0
     for delayed_read in range(3):
         clocks.preemptions_ns = [0, 0, 0]
         clocks.preemptions_ns[delayed_read] = 400_000_000
--- a/tests/gateway/test_deployments.py
+++ b/tests/gateway/test_deployments.py
@@ -6,19 +6,23 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
 
 import pytest
 
-from damasksaddle.exceptions import RateExceeded, StoreUnavailable
 from damasksaddle_gateway.coordinators import Coordinators
 from damasksaddle_gateway.membership import MAX_ADDRESSES, Membership
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.rate_limiter import RateLimiter
 from damasksaddle_gateway.routing_config import Workspace
-from damasksaddle_gateway.settings import Address, GatewaySettings
+from damasksaddle_gateway.settings import Address
 from damasksaddle_gateway.store import StoreCircuitBreaker
 from damasksaddle_gateway.token_buckets import TokenBuckets
+from damasksaddle_standins.deployments import (
+    DURATION_S,
+    MAX_REQUESTS,
+    draw_deployment,
+    play_requests,
+)
 from damasksaddle_standins.versioned_table import MemoryVersionedTable, VersionedRows
 from tests.gateway.conftest import deny_offline_grants, make_settings
 from tests.gateway.test_fleet import _write_heartbeat, _write_vm_row
@@ -26,71 +30,6 @@
 pytestmark = pytest.mark.looptime
 
 SEEDS = range(16)
-DURATION_S = 20.0
-MAX_REQUESTS = 1500
-
-
-@dataclass(frozen=True)
-class Deployment:
-    """A workspace and the bounds of its deployment."""
-
-    workspace: Workspace
-    settings: GatewaySettings
-    slowdown: float
-
-    def max_admitted(self) -> float:
-        """Returns how many requests of a window the users' rules allow."""
-        settings, workspace = self.settings, self.workspace
-        expected = workspace.rate_per_s * settings.rate_window_s + workspace.burst
-        return expected * (1 + settings.rate_overrun) + settings.rate_slack
-
-
-def draw_deployment(seed: int) -> Deployment:
-    """Returns a deployment with a burst of 1 to 1,000 and a rate of 0.5 to 300/s."""
-    rng = random.Random(seed)
-    burst = round(10 ** rng.uniform(0, 3), 1)
-    return Deployment(
-        Workspace("ws", None, round(10 ** rng.uniform(-0.3, 2.5), 2), burst),
-        make_settings(
-            rate_window_s=rng.choice([1.0, 5.0, 10.0]),
-            rate_overrun=rng.choice([0.05, 0.1, 0.3]),
-            rate_slack=rng.choice([2.0, 20.0]),
-        ),
-        rng.choice([1.0, 1.0, 5.0]),
-    )
-
-
-async def _play(
-    deployment: Deployment, demand: float, seed: int, coordinators: int
-) -> list[float]:
-    """Sends requests at a multiple of the rate; returns when they were admitted."""
-    rng = random.Random(seed)
-    rows = VersionedRows(slowdown=deployment.slowdown)
-    buckets = [
-        TokenBuckets(
-            StoreCircuitBreaker(MemoryVersionedTable(rows)),
-            deployment.settings,
-            deny_offline_grants,
-        )
-        for _ in range(coordinators)
-    ]
-    loop = asyncio.get_running_loop()
-    admitted_s: list[float] = []
-
-    async def send(number: int) -> None:
-        bucket = rng.choice(buckets)
-        try:
-            await bucket.take(deployment.workspace, 1, 0.5, 0, f"p{number}")
-        except (RateExceeded, StoreUnavailable):
-            return
-        admitted_s.append(loop.time())
-
-    per_s = deployment.workspace.rate_per_s * demand
-    async with asyncio.TaskGroup() as requests:
-        for number in range(min(MAX_REQUESTS, int(per_s * DURATION_S))):
-            requests.create_task(send(number))
-            await asyncio.sleep(1 / per_s)
-    return admitted_s
 
 
 def _max_per_window(admitted_s: list[float], window_s: float) -> int:
@@ -105,7 +44,7 @@
     """Guards against rates, bursts and bounds with which tokens are lost."""
     deployment = draw_deployment(seed)
     for demand in (0.8, 3.0):
-        admitted_s = await _play(deployment, demand, seed, coordinators=1)
+        admitted_s = await play_requests(deployment, demand, seed, coordinators=1)
         sent = min(
             MAX_REQUESTS, int(deployment.workspace.rate_per_s * demand * DURATION_S)
         )
@@ -118,7 +57,7 @@
     deployment = draw_deployment(seed)
     window_s = deployment.settings.rate_window_s
     for coordinators in (1, 2, 5):
-        admitted_s = await _play(deployment, 3.0, seed, coordinators)
+        admitted_s = await play_requests(deployment, 3.0, seed, coordinators)
         max_admitted = deployment.max_admitted()
         assert _max_per_window(admitted_s, window_s) <= max_admitted
 
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -11,6 +11,7 @@
 from damasksaddle.exceptions import SizeLimitExceeded
 from damasksaddle_gateway.events import MAX_EVENT_BYTES, EventSplitter
 from damasksaddle_gateway.routing_config import Upstream
+from damasksaddle_standins.endless import endless_server
 from tests.gateway.test_request_handler import HOST, KEY, RunningGateway, run_gateway
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Signature: s1\r\n"
@@ -23,32 +24,11 @@
     gateway: RunningGateway, head: bytes, piece: bytes, interval_s: float = 0.0
 ) -> AsyncIterator[list[int]]:
     """Adds an upstream that sends `piece` until the gateway closes the connection."""
-    sent: list[int] = []
-
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        sent.append(0)
-        try:
-            writer.write(head)
-            while True:
-                writer.write(piece)
-                sent[-1] += len(piece)
-                await writer.drain()
-                await asyncio.sleep(interval_s)
-        except OSError:
-            pass
-        finally:
-            writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()[:2]
-    gateway.config_watcher.upstreams["endless"] = Upstream(
-        "endless", "svc", f"{host}:{port}", "a", 4, False
-    )
-    try:
+    async with endless_server(head, piece, interval_s) as (address, sent):
+        gateway.config_watcher.upstreams["endless"] = Upstream(
+            "endless", "svc", address, "a", 4, False
+        )
         yield sent
-    finally:
-        server.close()
 
 
 @pytest.mark.parametrize("path", ["/once/x", "/turn/x", "/safe/x"])
--- a/tests/gateway/test_small_workspaces.py
+++ b/tests/gateway/test_small_workspaces.py
@@ -6,24 +6,18 @@
 
 import pytest
 
-from damasksaddle.exceptions import RateExceeded
 from damasksaddle_gateway.rate_queue import RateQueue, Waiter
 from damasksaddle_gateway.routing_config import Workspace
 from damasksaddle_gateway.store import StoreCircuitBreaker
 from damasksaddle_gateway.token_buckets import TokenBuckets
+from damasksaddle_standins.gateway_load import ProgramLoad, ProgramShape
 from damasksaddle_standins.versioned_table import MemoryVersionedTable
 from tests.gateway.conftest import deny_offline_grants, make_settings
 
 pytestmark = pytest.mark.looptime
 
 WORKSPACE = Workspace("ngo", rate_per_s=4.0, burst=5.0)
-FAN_OUT = 5
-TURNS = 6
-# What a caller's tool calls may wait, and its attempts for each request.
-MAX_WAIT_S = 0.8
-MAX_ATTEMPTS = 2
-RESERVE = 2
-PROGRAM_TIME_S = 12.0
+RESERVE = ProgramShape().reserve
 
 
 def _token_buckets(table: MemoryVersionedTable) -> TokenBuckets:
@@ -32,35 +26,6 @@
     )
 
 
-async def _send(
-    buckets: TokenBuckets, program: str, reserve: int, end_s: float
-) -> bool:
-    """Sends a request as a caller does; returns whether it was admitted."""
-    for _ in range(MAX_ATTEMPTS):
-        time_left_s = end_s - asyncio.get_running_loop().time()
-        try:
-            await buckets.take(WORKSPACE, 1, MAX_WAIT_S, reserve, program, time_left_s)
-        except RateExceeded as error:
-            await asyncio.sleep(min(error.retry_after_s or 0.0, MAX_WAIT_S))
-        else:
-            return True
-    return False
-
-
-async def _run_program(buckets: TokenBuckets, program: str) -> str:
-    """Runs turns, each of which starts `FAN_OUT` requests at once."""
-    end_s = asyncio.get_running_loop().time() + PROGRAM_TIME_S
-    for turn in range(TURNS):
-        if not await _send(buckets, program, RESERVE, end_s):
-            return "interrupted" if turn else "refused"
-        await asyncio.sleep(0.3)
-        calls = (_send(buckets, program, 0, end_s) for _ in range(FAN_OUT))
-        if not all(await asyncio.gather(*calls)):
-            return "interrupted"
-        await asyncio.sleep(0.3)
-    return "finished"
-
-
 async def test_sparse_requests_within_the_rate_are_not_refused(
     table: MemoryVersionedTable,
 ) -> None:
@@ -80,29 +45,20 @@
     table: MemoryVersionedTable,
 ) -> None:
     """Guards against stopping a program midway that needs its rate in bursts."""
-    buckets = _token_buckets(table)
-    assert await _run_program(buckets, "p") == "finished"
+    load = ProgramLoad(WORKSPACE, _token_buckets(table))
+    assert await load.run_program("p") == "finished"
 
 
 async def test_programs_beyond_the_rate_are_refused_at_their_start(
     table: MemoryVersionedTable,
 ) -> None:
     """Guards against refusals midway in a workspace that starts too many programs."""
-    buckets = _token_buckets(table)
-    outcomes: list[str] = []
+    load = ProgramLoad(WORKSPACE, _token_buckets(table))
     rng = random.Random(20261204)
-
-    async def run(number: int) -> None:
-        outcomes.append(await _run_program(buckets, f"p{number}"))
-
-    async with asyncio.TaskGroup() as programs:
-        for number in range(40):
-            programs.create_task(run(number))
-            await asyncio.sleep(rng.uniform(1.0, 3.0))
-    needed = TURNS * (1 + FAN_OUT)
-    possible = 40 * 2.0 * WORKSPACE.rate_per_s / needed
-    assert outcomes.count("interrupted") <= 1
-    assert outcomes.count("finished") >= 0.7 * possible
+    await load.start_programs(rng.uniform(1.0, 3.0) for _ in range(40))
+    possible = 40 * 2.0 * WORKSPACE.rate_per_s / load.shape.requests()
+    assert load.outcomes.count("interrupted") <= 1
+    assert load.outcomes.count("finished") >= 0.7 * possible
 
 
 async def test_running_programs_are_served_in_the_order_of_their_deadlines(
