--- a/packages/gateway/src/damasksaddle_gateway/settings_watcher.py
+++ b/packages/gateway/src/damasksaddle_gateway/settings_watcher.py
@@ -69,7 +69,7 @@
         version = self._version()
         await asyncio.sleep(STABLE_S)
         if version != self._version():
-            # Still being written; the next poll reads it.
+            # Still being written; it is read again.
             self._requested.set()
             return
         self._loaded = version
