--- a/packages/core/src/damasksaddle/utils/metrics.py
+++ b/packages/core/src/damasksaddle/utils/metrics.py
@@ -35,6 +35,7 @@
     INTERRUPTED_RESPONSES = "answers.broken"
     CALLER_DISCONNECTS = "callers.left"
     RATE_TOKENS = "rate.tokens"
+    UPSTREAM_LIMITS = "upstream_limits"
 
 
 class Timing(StrEnum):
@@ -72,6 +73,9 @@
         "tokens of workspaces' rates: drawn from the store, returned to it unused, "
         "granted to VMs, used and expired there"
     ),
+    Counter.UPSTREAM_LIMITS: (
+        "answers of upstreams that named a rate limit, and limits that ended"
+    ),
     Timing.RATE_WAIT: "wait for the workspace's rate",
     Timing.QUEUE_WAIT: "wait in the queue of a pool",
     Timing.FIRST_TOKEN: "from a call's start at its owner to its first token",
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -26,6 +26,7 @@
 from damasksaddle_gateway.store import StoreCircuitBreaker
 from damasksaddle_gateway.token_buckets import TokenBuckets
 from damasksaddle_gateway.turns import TurnBudgets
+from damasksaddle_gateway.upstream_limits import UpstreamLimits
 from damasksaddle_gateway.upstreams import UpstreamClient
 
 log = get_logger("gateway")
@@ -115,7 +116,8 @@
         )
         self.turns = TurnBudgets(settings.vm, self.budgets, coordinators, self.peers)
         self.placement = Placement()
-        self.upstreams = UpstreamClient(codec)
+        self.upstream_limits = UpstreamLimits()
+        self.upstreams = UpstreamClient(codec, self.upstream_limits)
         self.request_handler = RequestHandler(
             self.config_watcher,
             self.rate_limiter,
--- a/packages/gateway/src/damasksaddle_gateway/interfaces.py
+++ b/packages/gateway/src/damasksaddle_gateway/interfaces.py
@@ -65,12 +65,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
-    """Response attributes decoded from the status and headers of an upstream."""
+    """
+    Response attributes decoded from the status and headers of an upstream.
+
+    `rate_limit_per_s` is the number of requests per second that the upstream accepts
+    from all VMs together, or None if it names no limit.
+    """
 
     request_id: str
     signed: bool
     not_run: bool
     misdirected: bool
+    rate_limit_per_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -19,8 +19,10 @@
 from yarl import URL
 
 from damasksaddle.exceptions import DamasksaddleError
+from damasksaddle.utils import boottime_s
 from damasksaddle_gateway.interfaces import HeaderCodec, ResponseMetadata
 from damasksaddle_gateway.routing_config import Upstream
+from damasksaddle_gateway.upstream_limits import UpstreamLimits
 
 CONNECT_TIMEOUT_S = 0.4
 # Upstreams close idle connections after their own timeout, which is a few seconds.
@@ -120,8 +122,9 @@
 class UpstreamClient:
     """HTTP client for upstreams."""
 
-    def __init__(self, codec: HeaderCodec) -> None:
+    def __init__(self, codec: HeaderCodec, limits: UpstreamLimits) -> None:
         self._codec = codec
+        self._limits = limits
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -165,6 +168,7 @@
         """
         assert self._session is not None
         url = URL(f"http://{upstream.address}{raw_path}", encoded=True)
+        sent_s = boottime_s()
         try:
             response = await self._session.request(
                 method,
@@ -178,19 +182,24 @@
         except (aiohttp.ClientError, OSError) as error:
             raise ResponseInterrupted(repr(error)) from error
         try:
-            yield await self._head(response, request_id)
+            yield await self._head(response, request_id, upstream, sent_s)
         finally:
             if not response.content.is_eof():
                 response.close()
             response.release()
 
     async def _head(
-        self, response: aiohttp.ClientResponse, request_id: str
+        self,
+        response: aiohttp.ClientResponse,
+        request_id: str,
+        upstream: Upstream,
+        sent_s: float,
     ) -> UpstreamResponse:
         metadata = self._codec.decode_response(response.status, response.headers)
         if metadata.request_id and metadata.request_id != request_id:
             response.close()
             raise ResponseInterrupted("the response belongs to another request")
+        self._limits.record_response(upstream, metadata, sent_s)
         if metadata.not_run:
             raise UpstreamRejected(response.status, metadata.misdirected)
         connection = _connection_ending_body(response)
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -37,6 +37,7 @@
 from damasksaddle_gateway.store import StoreCircuitBreaker
 from damasksaddle_gateway.token_buckets import TokenBuckets
 from damasksaddle_gateway.turns import TurnBudgets
+from damasksaddle_gateway.upstream_limits import UpstreamLimits
 from damasksaddle_gateway.upstreams import UpstreamClient
 from damasksaddle_platform.headers import PlatformHeaderCodec
 from damasksaddle_platform.records import RecordDecoder
@@ -142,7 +143,7 @@
     turns = TurnBudgets(
         settings.vm, Budgets(table, 1.0, deny_offline_grants), coordinators, peers
     )
-    client = UpstreamClient(codec)
+    client = UpstreamClient(codec, UpstreamLimits())
     await client.start()
     request_handler = RequestHandler(
         config_watcher,
