Keep all VMs together within the rate that an upstream names

Cause: placement knew slots, connections and rejections, and an upstream's named limit was read by nobody. The class: a bound for all VMs together that no one coordinates.

Change: each answer's limit is recorded. The VM that learns of a change announces it to all live VMs (announcements), and a request to a limited upstream needs a permit of the upstream's coordinator, which reserves evenly spaced moments (pacing). No store is used. A coordinator's substitute grants half of the limit, later ones a VM's share, so two that act at once stay within 1.5 times the limit.

Ruled out: a share of the limit for each VM (2.3 requests a second over 390 VMs is nothing for each); a row in the store (a write for each change, nothing while the store is away).

Failed before: test_requests_beyond_a_named_limit_go_to_another_upstream (32 of 60 requests reached the limited upstream, 17 allowed) and test_a_request_beyond_every_limit_is_told_when_to_come_back (four times 200).

--- a/packages/gateway/src/damasksaddle_gateway/calls.py
+++ b/packages/gateway/src/damasksaddle_gateway/calls.py
@@ -18,6 +18,7 @@
 
     `deadline_s` is the time at which the request times out. `may_have_run` is set while
     an upstream has received the request and has not reported that it did not run it.
+    `permit_retry_s` is the time until an upstream's rate limit permits another request.
     `response` is set once the response has started.
     """
 
@@ -35,6 +36,7 @@
     attempts: int = 0
     tried_upstreams: list[str] = field(default_factory=list)
     rejections: int = 0
+    permit_retry_s: float = 0.0
     may_have_run: bool = False
     tokens_used: int = 0
     reservation: TurnReservation | None = None
--- a/packages/gateway/src/damasksaddle_gateway/coordinators.py
+++ b/packages/gateway/src/damasksaddle_gateway/coordinators.py
@@ -39,30 +39,39 @@
     def __init__(
         self, vm: str, store: StoreCircuitBreaker, membership: Membership, peers: Peers
     ) -> None:
-        self._vm = vm
+        self.vm = vm
         self._store = store
         self._membership = membership
         self._peers = peers
         self._suspect_until_s: dict[str, float] = {}
 
+    def order(self, name: str) -> list[str]:
+        """
+        Returns the coordinator for a name, and the VMs that may take its place.
+
+        This VM is always part of it, also while it leaves.
+        """
+        order = rendezvous(name, self._membership.live_vms())
+        return order if self.vm in order else [*order, self.vm]
+
     def is_coordinator(self, name: str) -> bool:
         """Tells whether this VM is the coordinator for a name."""
-        return rendezvous(name, self._membership.live_vms())[0] == self._vm
+        return rendezvous(name, self._membership.live_vms())[0] == self.vm
 
-    def _candidates(self, name: str) -> list[str]:
+    def _candidates(self, name: str, needs_store: bool) -> list[str]:
         """
         Returns the VMs to try in order; recently failed VMs come last.
 
-        While the store is unavailable, only the coordinator may act, so the order is
-        unchanged.
+        While a store that the coordinator needs is unavailable, only the coordinator
+        may act, so the order is unchanged.
         """
         now_s = boottime_s()
         order = rendezvous(name, self._membership.live_vms())
-        if self._store.is_available():
+        if self._store.is_available() or not needs_store:
             order.sort(key=lambda vm: self._suspect_until_s.get(vm, -math.inf) > now_s)
         candidates = order[:MAX_CANDIDATES]
-        if self._vm not in candidates:
-            candidates[-1] = self._vm
+        if self.vm not in candidates:
+            candidates[-1] = self.vm
         return candidates
 
     async def request(
@@ -71,21 +80,24 @@
         message: Message,
         handle_locally: Callable[[], Awaitable[Message]],
         wait_s: float,
+        needs_store: bool = True,
     ) -> tuple[str, Message]:
         """
         Returns the VM that responded and its response.
 
-        `wait_s` is how long the VM may hold the request before it responds. Raises the
-        coordinator's `Refusal`, or `StoreUnavailable` if no VM can respond.
+        `wait_s` is how long the VM may hold the request before it responds, and
+        `needs_store` whether it uses the store. Raises the coordinator's `Refusal`, or
+        `StoreUnavailable` if no VM can respond.
         """
-        candidates = self._candidates(name)
-        if not self._store.is_available():
-            # The coordinator may wait until the outage is confirmed.
-            wait_s += CONFIRM_WAIT_S
-        wait_s += MAX_WRITES * self._store.latency.extra_write_s()
+        candidates = self._candidates(name, needs_store)
+        if needs_store:
+            if not self._store.is_available():
+                # The coordinator may wait until the outage is confirmed.
+                wait_s += CONFIRM_WAIT_S
+            wait_s += MAX_WRITES * self._store.latency.extra_write_s()
         for vm in candidates:
             try:
-                if vm == self._vm:
+                if vm == self.vm:
                     return vm, await handle_locally()
                 timeout_s = PEER_TIMEOUT_S + wait_s
                 return vm, await self._peers.request(vm, message, timeout_s)
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -11,6 +11,7 @@
 from damasksaddle.platform import VersionedTable
 from damasksaddle.utils import boottime_s, get_logger
 from damasksaddle.utils.metrics_server import metrics_response
+from damasksaddle_gateway.announcements import Announcements
 from damasksaddle_gateway.budgets import TABLE as BUDGETS_TABLE
 from damasksaddle_gateway.budgets import Budgets
 from damasksaddle_gateway.config_watcher import ConfigWatcher
@@ -116,7 +117,9 @@
         )
         self.turns = TurnBudgets(settings.vm, self.budgets, coordinators, self.peers)
         self.placement = Placement()
-        self.upstream_limits = UpstreamLimits()
+        self.announcements = Announcements(settings.vm, self.membership, self.peers)
+        self.upstream_limits = UpstreamLimits(coordinators, self.announcements)
+        self.upstream_limits.register_handlers(self.peers.handlers)
         self.upstreams = UpstreamClient(codec, self.upstream_limits)
         self.request_handler = RequestHandler(
             self.config_watcher,
@@ -125,6 +128,7 @@
             self.placement,
             self.membership,
             self.upstreams,
+            self.upstream_limits,
             codec,
             settings.key_revocation_ms,
         )
@@ -141,6 +145,7 @@
             self.membership,
             self.peers,
             self.outage_detector,
+            self.announcements,
             self.turns,
             self.budgets,
         ]
--- a/packages/gateway/src/damasksaddle_gateway/placement.py
+++ b/packages/gateway/src/damasksaddle_gateway/placement.py
@@ -24,6 +24,9 @@
 # An upstream that rejected a request as full gets no request for this time, in which
 # about one of its requests ends.
 REJECTED_BACKOFF_S = 0.03
+# Longest time for which an upstream without a permit is passed over, so that the end of
+# its rate limit is noticed.
+MAX_LIMITED_S = 0.5
 # An upstream that failed is avoided for this time, which doubles with each further
 # failure up to the maximum.
 INITIAL_BACKOFF_S = 0.5
@@ -46,6 +49,7 @@
     outstanding: int = 0
     failures: int = 0
     rejected_until_s: float = -math.inf
+    limited_until_s: float = -math.inf
     avoid_until_s: float = -math.inf
 
 
@@ -82,10 +86,34 @@
     def has_capacity(self, upstream: Upstream, service: Service, vms: int) -> bool:
         """Tells whether this VM may send one more request to an upstream."""
         state = self.upstream_state(upstream)
-        if state.rejected_until_s > boottime_s():
+        now_s = boottime_s()
+        if state.rejected_until_s > now_s or state.limited_until_s > now_s:
             return False
         return state.outstanding < in_flight_limit(upstream, service, vms)
 
+    def first_permit(
+        self, upstreams: list[Upstream], service: Service, vms: int
+    ) -> Upstream | None:
+        """
+        Returns the upstream whose rate limit permits a request first.
+
+        Returns None unless all upstreams with room lack permits; `wait_for_capacity`
+        then tells when one has room.
+        """
+        now_s = boottime_s()
+        limited = []
+        for upstream in upstreams:
+            state = self.upstream_state(upstream)
+            if state.limited_until_s <= now_s:
+                return None
+            if state.outstanding < in_flight_limit(upstream, service, vms):
+                limited.append(upstream)
+        return min(
+            limited,
+            key=lambda upstream: self.upstream_state(upstream).limited_until_s,
+            default=None,
+        )
+
     async def wait_for_capacity(
         self, upstreams: list[Upstream], service: Service, vms: int, until_s: float
     ) -> bool:
@@ -159,6 +187,12 @@
             boottime_s() + REJECTED_BACKOFF_S
         )
 
+    def record_limited(self, upstream: Upstream, wait_s: float) -> None:
+        """Records that an upstream's rate limit permits no request for a time."""
+        self.upstream_state(upstream).limited_until_s = boottime_s() + min(
+            wait_s, MAX_LIMITED_S
+        )
+
     def record_failure(self, upstream: Upstream) -> None:
         """Records that an upstream was unreachable or interrupted a response."""
         state = self.upstream_state(upstream)
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -51,6 +51,7 @@
     is_retryable,
 )
 from damasksaddle_gateway.turns import TurnBudgets
+from damasksaddle_gateway.upstream_limits import Limited, Permitted, UpstreamLimits
 from damasksaddle_gateway.upstreams import (
     ResponseInterrupted,
     UpstreamClient,
@@ -146,6 +147,7 @@
         placement: Placement,
         membership: Membership,
         upstreams: UpstreamClient,
+        upstream_limits: UpstreamLimits,
         codec: HeaderCodec,
         key_revocation_ms: float,
     ) -> None:
@@ -155,6 +157,7 @@
         self._placement = placement
         self._membership = membership
         self._upstreams = upstreams
+        self._upstream_limits = upstream_limits
         self._codec = codec
         self._relay = ResponseRelay(codec)
         self._known_upstreams: dict[str, Upstream] = {}
@@ -391,9 +394,17 @@
             ]
             upstream = self._placement.choose(free, call.service, call.metadata)
             if upstream is not None:
-                break
+                if await self._take_permit(call, upstream, 0.0):
+                    break
+                continue
             if call.rejections >= MAX_REJECTIONS:
                 raise self._no_upstream_refusal(call)
+            upstream = self._placement.first_permit(candidates, call.service, vms)
+            if upstream is not None:
+                max_wait_s = deadline_s - boottime_s()
+                if await self._take_permit(call, upstream, max_wait_s):
+                    break
+                raise self._no_upstream_refusal(call)
             if not candidates or not await self._placement.wait_for_capacity(
                 candidates, call.service, vms, deadline_s
             ):
@@ -408,13 +419,30 @@
         measure(Timing.PLACEMENT_WAIT, (boottime_s() - started_s) * 1000)
         return upstream
 
+    async def _take_permit(
+        self, call: Call, upstream: Upstream, max_wait_s: float
+    ) -> bool:
+        """
+        Returns whether the rate limit of an upstream permits the call.
+
+        The upstream may have gone while the call waited for its permit.
+        """
+        match await self._upstream_limits.take_permit(upstream, max_wait_s):
+            case Permitted():
+                available = self._config_watcher.available_upstreams(call.service.name)
+                return upstream in available
+            case Limited(retry_after_s):
+                self._placement.record_limited(upstream, retry_after_s)
+                call.permit_retry_s = retry_after_s
+                return False
+
     @staticmethod
     def _no_upstream_refusal(call: Call) -> Refusal:
         if call.may_have_run:
             return OutcomeUnknown()
         return UpstreamUnavailable(
             f"tried {len(call.tried_upstreams)}, {call.rejections} rejections as full",
-            retry_after_s=NO_UPSTREAM_RETRY_S,
+            retry_after_s=max(NO_UPSTREAM_RETRY_S, call.permit_retry_s),
         )
 
     def _check_retry_allowed(self, call: Call) -> None:
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -329,6 +329,35 @@
     partition: int
 
 
+@dataclass(slots=True)
+class AnnounceLimit:
+    """The rate limit that an upstream named; `limit_per_s` is -1 for no limit."""
+
+    upstream: str
+    limit_per_s: float
+    age_ms: int
+
+
+@dataclass(slots=True)
+class TakePermit:
+    """Requests a permit to send one request to an upstream with a rate limit."""
+
+    upstream: str
+    limit_per_s: float
+    age_ms: int
+    max_wait_ms: int
+
+
+@dataclass(slots=True)
+class PermitTaken:
+    """A permit that is valid after `wait_ms`, or the time until one may be granted."""
+
+    granted: bool
+    wait_ms: int
+    limit_per_s: float
+    age_ms: int
+
+
 Message = (
     Hello
     | Ok
@@ -363,6 +392,9 @@
     | SettleTokens
     | StoreReach
     | StoreReached
+    | AnnounceLimit
+    | TakePermit
+    | PermitTaken
 )
 
 
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -40,6 +40,9 @@
     settleTokens @33 :SettleTokens;
     storeReach @34 :StoreReach;
     storeReached @35 :StoreReached;
+    announceLimit @36 :AnnounceLimit;
+    takePermit @37 :TakePermit;
+    permitTaken @38 :PermitTaken;
   }
 }
 
@@ -236,3 +239,23 @@
 struct StoreReached {
   answers @0 :Bool;          # whether the sender can reach the store
 }
+
+struct AnnounceLimit {
+  upstream @0 :Text;         # identifies one process of the upstream
+  limitPerS @1 :Float64;     # requests per second from all VMs, -1 for no limit
+  ageMs @2 :UInt32;          # time since the upstream said so
+}
+
+struct TakePermit {
+  upstream @0 :Text;
+  limitPerS @1 :Float64;     # as the sender knows it
+  ageMs @2 :UInt32;
+  maxWaitMs @3 :UInt32;      # longest time until the permit is valid
+}
+
+struct PermitTaken {
+  granted @0 :Bool;
+  waitMs @1 :UInt32;         # until the permit is valid, or until one may be granted
+  limitPerS @2 :Float64;     # as the coordinator knows it
+  ageMs @3 :UInt32;
+}
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from damasksaddle.utils import clock
+from damasksaddle_gateway.announcements import Announcements
 from damasksaddle_gateway.budgets import Budgets
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.coordinators import Coordinators
@@ -143,7 +144,8 @@
     turns = TurnBudgets(
         settings.vm, Budgets(table, 1.0, deny_offline_grants), coordinators, peers
     )
-    client = UpstreamClient(codec, UpstreamLimits())
+    limits = UpstreamLimits(coordinators, Announcements(settings.vm, membership, peers))
+    client = UpstreamClient(codec, limits)
     await client.start()
     request_handler = RequestHandler(
         config_watcher,
@@ -152,6 +154,7 @@
         Placement(),
         membership,
         client,
+        limits,
         codec,
         5000.0,
     )
@@ -187,6 +190,10 @@
     return web.Response(status=503, headers={"X-Not-Executed": "1"})
 
 
+async def respond_with_limit(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(body=b"limited", headers={**SIGNED, "Server-Limit": "2.0"})
+
+
 async def reset_connection(request: web.BaseRequest) -> web.StreamResponse:
     assert request.transport is not None
     request.transport.abort()
@@ -515,3 +522,26 @@
         status, _, _ = await gateway.send("/turn/x", **counts)
         assert (status, gateway.received) == (503, [])
         assert asyncio.get_running_loop().time() - started_s < 0.1
+
+
+async def test_requests_beyond_a_named_limit_go_to_another_upstream() -> None:
+    """Guards against placement that ignores a rate limit (incident LIMIT)."""
+    async with run_gateway(respond_with_limit, respond_ok) as gateway:
+        for _ in range(60):
+            assert (await gateway.send("/safe/x"))[0] == 200
+        expected = [
+            request.headers["X-Expect-Instance"] for request in gateway.received
+        ]
+        # In 4 s, 1.5 times 2 requests per second, and 5.
+        assert expected.count("u0") <= 17
+
+
+async def test_a_request_beyond_every_limit_is_told_when_to_come_back() -> None:
+    """Guards against holding a request until its deadline when no upstream takes it."""
+    async with run_gateway(respond_with_limit) as gateway:
+        statuses = []
+        for _ in range(4):
+            status, _, headers = await gateway.send("/once/x", X_Deadline_Ms="300")
+            statuses.append(status)
+        assert statuses == [200, 503, 503, 503]
+        assert 0.2 <= float(headers["Retry-After"]) <= 0.5
