--- a/packages/gateway/src/damasksaddle_gateway/calls.py
+++ b/packages/gateway/src/damasksaddle_gateway/calls.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+import xxhash
 from aiohttp import web
 
 from damasksaddle.utils import boottime_s
@@ -43,5 +44,11 @@
     events: EventSplitter = field(default_factory=EventSplitter)
     response: web.StreamResponse | None = None
 
+    def fingerprint(self) -> str:
+        """Identifies all requests of a caller with the same method, path and body."""
+        workspace = self.workspace.name if self.workspace else ""
+        head = f"{self.method}\0{self.raw_path}\0{workspace}\0"
+        return xxhash.xxh3_128_hexdigest(head.encode() + self.body)
+
     def time_left_s(self) -> float:
         return self.deadline_s - boottime_s()
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -527,6 +527,7 @@
             upstream=upstream.id,
             outcome=outcome,
             error=error,
+            fingerprint=call.fingerprint() if error else None,
             attempt=call.attempts,
             events=call.events.count,
             outstanding=self._placement.upstream_state(upstream).outstanding,
