Quarantine requests that crash the upstreams which run them

Cause: an attempt that broke off was forgotten with its id. The class: a failure that belongs to the request was booked on the upstream alone.

Change: a request is recognized by workspace, method, path and body, or the body's first 256 bytes. When its answer breaks off and nothing listens at the upstream any more, the VM reports the crash to the request's coordinator and to the next in the order. At three crashes the request is refused at once on all VMs (503 request_quarantined) for 60 s, and twice as long after each further crash. Requests of which one was answered completely are never blamed.

Failed before: test_a_request_that_crashes_its_upstreams_is_refused (six times 502 instead of three times 502 and three times 503).

--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -213,6 +213,12 @@
     title = "No upstream is available for this call."
 
 
+class RequestQuarantined(Refusal):
+    code = "request_quarantined"
+    status = 503
+    title = "Upstreams crashed under this request, so it is not run for some time."
+
+
 class UpstreamFailed(Refusal):
     code = "upstream_failed"
     status = 502
--- a/packages/core/src/damasksaddle/utils/metrics.py
+++ b/packages/core/src/damasksaddle/utils/metrics.py
@@ -36,6 +36,7 @@
     CALLER_DISCONNECTS = "callers.left"
     RATE_TOKENS = "rate.tokens"
     UPSTREAM_LIMITS = "upstream_limits"
+    QUARANTINES = "quarantines"
 
 
 class Timing(StrEnum):
@@ -76,6 +77,7 @@
     Counter.UPSTREAM_LIMITS: (
         "answers of upstreams that named a rate limit, and limits that ended"
     ),
+    Counter.QUARANTINES: "requests that were quarantined for crashing upstreams",
     Timing.RATE_WAIT: "wait for the workspace's rate",
     Timing.QUEUE_WAIT: "wait in the queue of a pool",
     Timing.FIRST_TOKEN: "from a call's start at its owner to its first token",
--- a/packages/gateway/src/damasksaddle_gateway/calls.py
+++ b/packages/gateway/src/damasksaddle_gateway/calls.py
@@ -11,6 +11,24 @@
 from damasksaddle_gateway.routing_config import Route, Service, Workspace
 from damasksaddle_gateway.turns import TurnReservation
 
+# Bytes at the start of a body that identify a request which comes again with more or
+# less after them, as a prompt does whose history has grown.
+BEGINNING_BYTES = 256
+
+
+def request_fingerprints(
+    workspace: Workspace | None, method: str, raw_path: str, body: bytes
+) -> tuple[str, ...]:
+    """
+    Identifies requests of a workspace with the same method, path and body.
+
+    The first fingerprint is that of the whole body, the second that of its beginning.
+    """
+    name = workspace.name if workspace else ""
+    head = f"{name}\0{method}\0{raw_path}\0".encode()
+    bodies = (body, body[:BEGINNING_BYTES])
+    return tuple(xxhash.xxh3_128_hexdigest(head + part) for part in bodies)
+
 
 @dataclass(slots=True)
 class Call:
@@ -30,6 +48,7 @@
     method: str
     raw_path: str
     body: bytes
+    fingerprints: tuple[str, ...]
     started_s: float
     deadline_s: float
     last_event_id: str
@@ -44,11 +63,5 @@
     events: EventSplitter = field(default_factory=EventSplitter)
     response: web.StreamResponse | None = None
 
-    def fingerprint(self) -> str:
-        """Identifies all requests of a caller with the same method, path and body."""
-        workspace = self.workspace.name if self.workspace else ""
-        head = f"{self.method}\0{self.raw_path}\0{workspace}\0"
-        return xxhash.xxh3_128_hexdigest(head.encode() + self.body)
-
     def time_left_s(self) -> float:
         return self.deadline_s - boottime_s()
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -21,6 +21,7 @@
 from damasksaddle_gateway.outage_detector import OutageDetector
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.placement import Placement
+from damasksaddle_gateway.quarantine import Quarantine
 from damasksaddle_gateway.rate_limiter import RateLimiter
 from damasksaddle_gateway.request_handler import RequestHandler
 from damasksaddle_gateway.settings import LIVE_SETTINGS, Address, GatewaySettings
@@ -28,7 +29,7 @@
 from damasksaddle_gateway.token_buckets import TokenBuckets
 from damasksaddle_gateway.turns import TurnBudgets
 from damasksaddle_gateway.upstream_limits import UpstreamLimits
-from damasksaddle_gateway.upstreams import UpstreamClient
+from damasksaddle_gateway.upstreams import UpstreamClient, refuses_connections
 
 log = get_logger("gateway")
 
@@ -120,6 +121,10 @@
         self.announcements = Announcements(settings.vm, self.membership, self.peers)
         self.upstream_limits = UpstreamLimits(coordinators, self.announcements)
         self.upstream_limits.register_handlers(self.peers.handlers)
+        self.quarantine = Quarantine(
+            coordinators, self.peers, self.announcements, refuses_connections
+        )
+        self.quarantine.register_handlers(self.peers.handlers)
         self.upstreams = UpstreamClient(codec, self.upstream_limits)
         self.request_handler = RequestHandler(
             self.config_watcher,
@@ -129,6 +134,7 @@
             self.membership,
             self.upstreams,
             self.upstream_limits,
+            self.quarantine,
             codec,
             settings.key_revocation_ms,
         )
--- /dev/null
+++ b/packages/gateway/src/damasksaddle_gateway/quarantine.py
@@ -0,0 +1,167 @@
+"""
+Stops requests that crash the upstreams which run them.
+
+A VM whose request ended with the crash of its upstream reports it to the request's
+coordinator and to the VM that would take its place. Either of them quarantines the
+request after some crashes, and announces that to all VMs. Nothing is stored, so a crash
+costs two messages per request that ran there, and a request that is in order none.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Iterable
+
+from damasksaddle.exceptions import PeerError, Refusal, RequestQuarantined
+from damasksaddle.utils import Counter, boottime_s, count, get_logger
+from damasksaddle_gateway.announcements import Announcements
+from damasksaddle_gateway.coordinators import Coordinators
+from damasksaddle_gateway.crash_counts import MAX_CRASHES, CrashCounts
+from damasksaddle_gateway.peers import Peers
+from damasksaddle_gateway.routing_config import Upstream
+from damasksaddle_node.peers import Handlers, Sender
+from damasksaddle_protocol import AnnounceQuarantine, Message, Ok, ReportCrash
+
+log = get_logger("quarantine")
+
+# After this time a request is tried once more, because its upstreams may have been
+# repaired, or another request may have caused the crashes. It doubles with each further
+# crash up to the maximum.
+INITIAL_QUARANTINE_S = 60.0
+MAX_QUARANTINE_S = 960.0
+# A coordinator and the VM that would take its place count independently.
+REPORT_COPIES = 2
+# VMs that are tried for these copies.
+MAX_REPORT_TRIES = 4
+PEER_TIMEOUT_S = 0.3
+# A request that an upstream completed is not the cause of a crash. Bounds the memory to
+# about 1 MB.
+MAX_COMPLETED = 4096
+
+
+class Quarantine:
+    """Knows the requests that no upstream may get for a time."""
+
+    def __init__(
+        self,
+        coordinators: Coordinators,
+        peers: Peers,
+        announcements: Announcements,
+        has_crashed: Callable[[Upstream], Awaitable[bool]],
+    ) -> None:
+        self._coordinators = coordinators
+        self._peers = peers
+        self._announcements = announcements
+        self._has_crashed = has_crashed
+        self._counts = CrashCounts()
+        self._until_s: dict[str, float] = {}
+        self._completed: OrderedDict[str, None] = OrderedDict()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def register_handlers(self, handlers: Handlers) -> None:
+        """Registers the handlers for messages of other VMs."""
+        handlers.add(ReportCrash, self._on_report)
+        handlers.add(AnnounceQuarantine, self._on_announcement)
+
+    def check(self, fingerprints: Iterable[str]) -> None:
+        """Raises `RequestQuarantined` if no upstream may get the request."""
+        left_s = max(map(self._left_s, fingerprints))
+        if left_s > 0:
+            raise RequestQuarantined(retry_after_s=left_s)
+
+    def record_completed(self, fingerprints: Iterable[str]) -> None:
+        """Records that an upstream answered a request completely."""
+        for fingerprint in fingerprints:
+            self._completed[fingerprint] = None
+            self._completed.move_to_end(fingerprint)
+        while len(self._completed) > MAX_COMPLETED:
+            self._completed.popitem(last=False)
+
+    def record_interruption(
+        self, fingerprints: Iterable[str], upstream: Upstream
+    ) -> None:
+        """
+        Records that the response to a request was interrupted.
+
+        Finds out in the background whether the upstream has crashed.
+        """
+        suspects = set(fingerprints).difference(self._completed)
+        if not suspects:
+            return
+        task = asyncio.create_task(self._report_crashes(suspects, upstream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _report_crashes(self, fingerprints: set[str], upstream: Upstream) -> None:
+        if await self._has_crashed(upstream):
+            await asyncio.gather(
+                *(self._report_crash(name, upstream) for name in fingerprints)
+            )
+
+    async def _report_crash(self, fingerprint: str, upstream: Upstream) -> None:
+        message = ReportCrash(fingerprint, upstream.id)
+        reported = 0
+        for vm in self._coordinators.order(fingerprint)[:MAX_REPORT_TRIES]:
+            if vm == self._coordinators.vm:
+                self._count(message)
+                reported += 1
+            else:
+                reported += await self._send(vm, message)
+            if reported == REPORT_COPIES:
+                break
+
+    async def _send(self, vm: str, message: Message) -> bool:
+        try:
+            await self._peers.request(vm, message, PEER_TIMEOUT_S)
+        except (PeerError, Refusal) as error:
+            log.info("Could not report a crash to a VM.", peer=vm, error=repr(error))
+            return False
+        return True
+
+    def _count(self, message: ReportCrash) -> None:
+        crashes = self._counts.record(
+            message.fingerprint, message.upstream, boottime_s()
+        )
+        log.info(
+            "An upstream crashed under a request.",
+            fingerprint=message.fingerprint,
+            upstream=message.upstream,
+            crashes=crashes,
+        )
+        if crashes < MAX_CRASHES or self._left_s(message.fingerprint) > 0:
+            return
+        quarantine_s = INITIAL_QUARANTINE_S * 2.0 ** (crashes - MAX_CRASHES)
+        self._add(message.fingerprint, min(quarantine_s, MAX_QUARANTINE_S))
+        self._announce(message.fingerprint)
+
+    def _left_s(self, fingerprint: str) -> float:
+        return self._until_s.get(fingerprint, 0.0) - boottime_s()
+
+    def _add(self, fingerprint: str, left_s: float) -> None:
+        now_s = boottime_s()
+        for expired in [key for key, end_s in self._until_s.items() if end_s < now_s]:
+            del self._until_s[expired]
+        if fingerprint not in self._until_s:
+            count(Counter.QUARANTINES)
+            log.warning(
+                "A request is quarantined because upstreams crashed under it.",
+                fingerprint=fingerprint,
+                left_s=round(left_s),
+            )
+        self._until_s[fingerprint] = now_s + left_s
+
+    def _announce(self, fingerprint: str) -> None:
+        def make_message() -> Message | None:
+            left_s = self._left_s(fingerprint)
+            if left_s <= 0:
+                return None
+            return AnnounceQuarantine(fingerprint, int(left_s * 1000))
+
+        self._announcements.publish(f"quarantine {fingerprint}", make_message)
+
+    async def _on_report(self, message: ReportCrash, sender: Sender) -> Ok:
+        self._count(message)
+        return Ok()
+
+    async def _on_announcement(self, message: AnnounceQuarantine, sender: Sender) -> Ok:
+        self._add(message.fingerprint, message.left_ms / 1000)
+        return Ok()
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -33,11 +33,12 @@
     measure,
     read_limited,
 )
-from damasksaddle_gateway.calls import Call
+from damasksaddle_gateway.calls import Call, request_fingerprints
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.interfaces import HeaderCodec, RequestMetadata
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.placement import Placement
+from damasksaddle_gateway.quarantine import Quarantine
 from damasksaddle_gateway.rate_limiter import RateLimiter
 from damasksaddle_gateway.relay import ResponseRelay
 from damasksaddle_gateway.routing_config import (
@@ -148,6 +149,7 @@
         membership: Membership,
         upstreams: UpstreamClient,
         upstream_limits: UpstreamLimits,
+        quarantine: Quarantine,
         codec: HeaderCodec,
         key_revocation_ms: float,
     ) -> None:
@@ -158,6 +160,7 @@
         self._membership = membership
         self._upstreams = upstreams
         self._upstream_limits = upstream_limits
+        self._quarantine = quarantine
         self._codec = codec
         self._relay = ResponseRelay(codec)
         self._known_upstreams: dict[str, Upstream] = {}
@@ -252,6 +255,8 @@
         service = config.services.get(route.service_for(metadata.request_id))
         if service is None:
             raise UpstreamUnavailable(retry_after_s=NO_UPSTREAM_RETRY_S)
+        fingerprints = request_fingerprints(workspace, request.method, raw_path, body)
+        self._quarantine.check(fingerprints)
         time_ms = min(route.timeout_ms, metadata.deadline_ms or route.timeout_ms)
         call = Call(
             metadata=metadata,
@@ -261,6 +266,7 @@
             method=request.method,
             raw_path=raw_path,
             body=body,
+            fingerprints=fingerprints,
             started_s=started_s,
             deadline_s=started_s + time_ms / 1000 - RESPONSE_MARGIN_S,
             last_event_id=metadata.last_event_id,
@@ -368,6 +374,7 @@
             except ResponseInterrupted as error:
                 self._placement.record_failure(upstream)
                 self._log_try(call, upstream, "broken_off", error)
+                self._quarantine.record_interruption(call.fingerprints, upstream)
                 self._check_retry_allowed(call)
             finally:
                 self._placement.finish_request(upstream)
@@ -412,8 +419,9 @@
         if call.time_left_s() <= 0:
             # This VM may have been suspended; its timers do not count that time.
             raise self._timeout_refusal(call)
+        # The request may have been quarantined, or its key withdrawn, while it waited.
+        self._quarantine.check(call.fingerprints)
         if call.workspace is not None:
-            # A key may have been withdrawn while the request waited.
             self._current_config()
         call.tried_upstreams.append(upstream.id)
         measure(Timing.PLACEMENT_WAIT, (boottime_s() - started_s) * 1000)
@@ -494,6 +502,7 @@
             call.attempts -= 1
             raise
         self._placement.record_success(upstream)
+        self._quarantine.record_completed(call.fingerprints)
         self._log_try(call, upstream, str(response.status), None)
         return response
 
@@ -527,7 +536,7 @@
             upstream=upstream.id,
             outcome=outcome,
             error=error,
-            fingerprint=call.fingerprint() if error else None,
+            fingerprint=call.fingerprints[-1] if error else None,
             attempt=call.attempts,
             events=call.events.count,
             outstanding=self._placement.upstream_state(upstream).outstanding,
--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -208,6 +208,24 @@
         )
 
 
+async def refuses_connections(upstream: Upstream) -> bool:
+    """
+    Tells whether no process listens at the address of an upstream.
+
+    An upstream that cannot be reached, or accepts no more connections, has not ended.
+    """
+    host, _, port = upstream.address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
 def _connection_ending_body(response: aiohttp.ClientResponse) -> _Connection | None:
     """
     Returns the connection whose close ends the body, or None if the body is framed.
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -358,6 +358,22 @@
     age_ms: int
 
 
+@dataclass(slots=True)
+class ReportCrash:
+    """Reports that an upstream crashed while it ran a request."""
+
+    fingerprint: str
+    upstream: str
+
+
+@dataclass(slots=True)
+class AnnounceQuarantine:
+    """Tells that no upstream may get a request for `left_ms`."""
+
+    fingerprint: str
+    left_ms: int
+
+
 Message = (
     Hello
     | Ok
@@ -395,6 +411,8 @@
     | AnnounceLimit
     | TakePermit
     | PermitTaken
+    | ReportCrash
+    | AnnounceQuarantine
 )
 
 
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -43,6 +43,8 @@
     announceLimit @36 :AnnounceLimit;
     takePermit @37 :TakePermit;
     permitTaken @38 :PermitTaken;
+    reportCrash @39 :ReportCrash;
+    announceQuarantine @40 :AnnounceQuarantine;
   }
 }
 
@@ -259,3 +261,13 @@
   limitPerS @2 :Float64;     # as the coordinator knows it
   ageMs @3 :UInt32;
 }
+
+struct ReportCrash {
+  fingerprint @0 :Text;      # of the request under which the upstream crashed
+  upstream @1 :Text;
+}
+
+struct AnnounceQuarantine {
+  fingerprint @0 :Text;
+  leftMs @1 :UInt32;         # time until the quarantine ends
+}
--- /dev/null
+++ b/tests/gateway/loopback_fleet.py
@@ -0,0 +1,69 @@
+"""VMs that exchange messages within this process, without sockets or a store."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from types import SimpleNamespace
+from typing import Any, Self
+
+from damasksaddle.exceptions import PeerUnreachable
+from damasksaddle_gateway.announcements import Announcements
+from damasksaddle_gateway.coordinators import Coordinators
+from damasksaddle_node.peers import Handlers, Sender
+
+ONE_WAY_S = 0.005
+
+
+class LoopbackPeers:
+    """Passes messages between the VMs of a fleet."""
+
+    def __init__(self, vm: str, fleet: "LoopbackFleet") -> None:
+        self._vm = vm
+        self._fleet = fleet
+        self.handlers = Handlers()
+
+    async def request(self, vm: str, message: Any, timeout_s: float) -> Any:
+        self._fleet.messages += 1
+        if self._fleet.unreachable & {vm, self._vm}:
+            await asyncio.sleep(timeout_s)
+            raise PeerUnreachable(vm)
+        await asyncio.sleep(ONE_WAY_S)
+        handler = self._fleet.peers[vm].handlers.unary[type(message)]
+        response = await handler(message, Sender(self._vm, 0, timeout_s))
+        await asyncio.sleep(ONE_WAY_S)
+        return response
+
+
+class LoopbackFleet:
+    """
+    VMs with coordinators and announcements; their store is unavailable.
+
+    VMs in `unreachable` get and send no messages. `add_part` is called for each VM.
+    """
+
+    def __init__(
+        self,
+        size: int,
+        add_part: Callable[[str, Coordinators, Any, Announcements], None],
+    ) -> None:
+        self.vms = [f"vm-{number}" for number in range(size)]
+        self.unreachable: set[str] = set()
+        self.messages = 0
+        self.peers: dict[str, LoopbackPeers] = {}
+        self._add_part = add_part
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        membership: Any = SimpleNamespace(live_vms=lambda: self.vms)
+        store: Any = SimpleNamespace(is_available=lambda: False)
+        for vm in self.vms:
+            peers: Any = LoopbackPeers(vm, self)
+            self.peers[vm] = peers
+            announcements = Announcements(vm, membership, peers)
+            await self._stack.enter_async_context(announcements)
+            coordinators = Coordinators(vm, store, membership, peers)
+            self._add_part(vm, coordinators, peers, announcements)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._stack.aclose()
--- /dev/null
+++ b/tests/gateway/test_quarantine.py
@@ -0,0 +1,186 @@
+"""Requests that crash each upstream which runs them are stopped on all VMs."""
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+
+from damasksaddle.exceptions import RequestQuarantined
+from damasksaddle.utils import rendezvous
+from damasksaddle_gateway.announcements import Announcements
+from damasksaddle_gateway.calls import request_fingerprints
+from damasksaddle_gateway.coordinators import Coordinators
+from damasksaddle_gateway.crash_counts import CrashCounts
+from damasksaddle_gateway.quarantine import INITIAL_QUARANTINE_S, Quarantine
+from damasksaddle_gateway.routing_config import Upstream, Workspace
+from tests.gateway.loopback_fleet import LoopbackFleet
+
+pytestmark = pytest.mark.looptime
+
+DEADLY = "f-deadly"
+RESTART_S = 3.0
+
+
+class CrashingFleet(LoopbackFleet):
+    """
+    VMs before upstreams that crash when they run the deadly request.
+
+    `runs` counts how often that request reached an upstream.
+    """
+
+    def __init__(self, size: int, upstreams: int = 5) -> None:
+        super().__init__(size, self._add_quarantine)
+        self.quarantines: dict[str, Quarantine] = {}
+        self.upstreams = [
+            Upstream(f"u{number}", "svc", f"u{number}:1", "a", 4, False)
+            for number in range(upstreams)
+        ]
+        self.down: set[str] = set()
+        self.runs = 0
+        self._beside: dict[str, list[tuple[str, str]]] = {}
+
+    def _add_quarantine(
+        self,
+        vm: str,
+        coordinators: Coordinators,
+        peers: Any,
+        announcements: Announcements,
+    ) -> None:
+        self.quarantines[vm] = Quarantine(
+            coordinators, peers, announcements, self._has_crashed
+        )
+        self.quarantines[vm].register_handlers(peers.handlers)
+
+    async def _has_crashed(self, upstream: Upstream) -> bool:
+        return upstream.id in self.down
+
+    def start_beside(self, vm: str, fingerprint: str, upstream: Upstream) -> None:
+        """Starts a sound request that runs until its upstream crashes."""
+        self._beside.setdefault(upstream.id, []).append((vm, fingerprint))
+
+    async def send_deadly(self, vm: str) -> bool:
+        """Sends the deadly request unless it is refused; returns whether it ran."""
+        try:
+            self.quarantines[vm].check([DEADLY])
+        except RequestQuarantined:
+            return False
+        up = [upstream for upstream in self.upstreams if upstream.id not in self.down]
+        if not up:
+            return False
+        await self.crash(vm, up[0])
+        return True
+
+    async def crash(self, vm: str, upstream: Upstream) -> None:
+        self.runs += 1
+        self.down.add(upstream.id)
+        self.quarantines[vm].record_interruption([DEADLY], upstream)
+        for other_vm, fingerprint in self._beside.pop(upstream.id, []):
+            self.quarantines[other_vm].record_interruption([fingerprint], upstream)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESTART_S, self.down.discard, upstream.id)
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("vms", [9, 390])
+async def test_a_deadly_request_ends_three_upstreams_and_no_more(vms: int) -> None:
+    """Guards against a request that crashes upstream after upstream (BUDGET)."""
+    rng = random.Random(1)
+    async with CrashingFleet(vms) as fleet:
+        for _ in range(60):
+            await fleet.send_deadly(rng.choice(fleet.vms))
+            await asyncio.sleep(0.5)
+        assert fleet.runs == 3
+
+
+async def test_a_lost_coordinator_does_not_forget_the_crashes() -> None:
+    """Guards against counting from the start when the VM that counts is lost."""
+    async with CrashingFleet(9) as fleet:
+        coordinator, *others = rendezvous(DEADLY, fleet.vms)
+        await fleet.send_deadly(others[-1])
+        await fleet.send_deadly(others[-2])
+        fleet.unreachable = {coordinator}
+        for _ in range(10):
+            await fleet.send_deadly(others[-3])
+            await asyncio.sleep(1.0)
+        assert fleet.runs == 3
+
+
+async def test_requests_beside_a_deadly_one_are_not_quarantined() -> None:
+    """Guards against blaming the requests that ran on the same upstreams."""
+    async with CrashingFleet(9) as fleet:
+        for number, upstream in enumerate(fleet.upstreams[:3]):
+            fleet.start_beside("vm-1", "f-once", upstream)
+            fleet.start_beside("vm-2", f"f-{number}", upstream)
+            if number:
+                fleet.start_beside("vm-3", "f-twice", upstream)
+        fleet.quarantines["vm-1"].record_completed(["f-once"])
+        for _ in range(10):
+            await fleet.send_deadly("vm-0")
+        for quarantine in fleet.quarantines.values():
+            for sound in ("f-once", "f-0", "f-1", "f-2", "f-twice"):
+                quarantine.check([sound])
+            with pytest.raises(RequestQuarantined):
+                quarantine.check([DEADLY])
+
+
+async def test_interruptions_without_a_crash_are_not_counted() -> None:
+    """Guards against blaming a request for lost answers and reset connections."""
+    async with CrashingFleet(9) as fleet:
+        for _ in range(10):
+            fleet.quarantines["vm-0"].record_interruption(["f"], fleet.upstreams[0])
+            await asyncio.sleep(2.0)
+        fleet.quarantines["vm-0"].check(["f"])
+
+
+async def test_a_repaired_upstream_gets_the_request_once_more() -> None:
+    """Guards against a quarantine without end, and one that starts from nothing."""
+    async with CrashingFleet(9) as fleet:
+        for _ in range(10):
+            await fleet.send_deadly("vm-0")
+        assert fleet.runs == 3
+        await asyncio.sleep(INITIAL_QUARANTINE_S + 1.0)
+        for _ in range(10):
+            await fleet.send_deadly("vm-0")
+        assert fleet.runs == 4
+
+
+def test_reports_of_one_crash_count_once() -> None:
+    """Guards against counting one crash for each copy of a request that ran there."""
+    counts = CrashCounts()
+    assert [counts.record("f", "u0", 10.0 + 0.1 * n) for n in range(5)] == [1] * 5
+    assert counts.record("f", "u0", 14.0) == 2
+    assert counts.record("f", "u1", 14.0) == 3
+
+
+def test_a_request_is_recognized_when_its_body_has_grown() -> None:
+    """Guards against a deadly prompt that comes again with a longer history."""
+    workspace = Workspace("ngo")
+    body = bytes(range(256)) * 4
+    first = request_fingerprints(workspace, "POST", "/turn/1", body)
+    assert first[1] in request_fingerprints(workspace, "POST", "/turn/1", body * 2)
+    others = (
+        request_fingerprints(Workspace("other"), "POST", "/turn/1", body),
+        request_fingerprints(workspace, "GET", "/turn/1", body),
+        request_fingerprints(workspace, "POST", "/turn/2", body),
+        request_fingerprints(workspace, "POST", "/turn/1", body[1:]),
+    )
+    for fingerprints in others:
+        assert not set(first).intersection(fingerprints)
+
+
+async def test_requests_that_begin_like_completed_ones_are_not_quarantined() -> None:
+    """Guards against stopping all prompts that begin like the deadly one."""
+    async with CrashingFleet(9) as fleet:
+        upstream = fleet.upstreams[0]
+        for vm in fleet.vms[:3]:
+            fleet.quarantines[vm].record_completed(["whole-1", "beginning"])
+            fleet.down = {upstream.id}
+            fleet.quarantines[vm].record_interruption(
+                ["whole-2", "beginning"], upstream
+            )
+            await asyncio.sleep(RESTART_S)
+        for quarantine in fleet.quarantines.values():
+            quarantine.check(["whole-3", "beginning"])
+            with pytest.raises(RequestQuarantined):
+                quarantine.check(["whole-2", "beginning"])
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -20,6 +20,7 @@
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.placement import Placement
+from damasksaddle_gateway.quarantine import Quarantine
 from damasksaddle_gateway.rate_limiter import RateLimiter
 from damasksaddle_gateway.request_handler import RequestHandler
 from damasksaddle_gateway.routing_config import (
@@ -39,7 +40,7 @@
 from damasksaddle_gateway.token_buckets import TokenBuckets
 from damasksaddle_gateway.turns import TurnBudgets
 from damasksaddle_gateway.upstream_limits import UpstreamLimits
-from damasksaddle_gateway.upstreams import UpstreamClient
+from damasksaddle_gateway.upstreams import UpstreamClient, refuses_connections
 from damasksaddle_platform.headers import PlatformHeaderCodec
 from damasksaddle_platform.records import RecordDecoder
 from damasksaddle_standins.versioned_table import MemoryVersionedTable, VersionedRows
@@ -87,6 +88,7 @@
     config_watcher: ConfigWatcher
     request_handler: RequestHandler
     received: list[web.BaseRequest] = field(default_factory=list)
+    upstream_runners: list[web.ServerRunner] = field(default_factory=list)
 
     async def send(
         self, path: str, method: str = "POST", body: bytes = b"body", **headers: str
@@ -144,7 +146,9 @@
     turns = TurnBudgets(
         settings.vm, Budgets(table, 1.0, deny_offline_grants), coordinators, peers
     )
-    limits = UpstreamLimits(coordinators, Announcements(settings.vm, membership, peers))
+    announcements = Announcements(settings.vm, membership, peers)
+    limits = UpstreamLimits(coordinators, announcements)
+    quarantine = Quarantine(coordinators, peers, announcements, refuses_connections)
     client = UpstreamClient(codec, limits)
     await client.start()
     request_handler = RequestHandler(
@@ -155,6 +159,7 @@
         membership,
         client,
         limits,
+        quarantine,
         codec,
         5000.0,
     )
@@ -163,6 +168,7 @@
     for number, handler in enumerate(handlers):
         runner, address = await start_server(_recorded(gateway, handler))
         runners.append((runner, address))
+        gateway.upstream_runners.append(runner)
         name = f"u{number}"
         config_watcher.upstreams[name] = Upstream(name, "svc", address, "a", 4, False)
     try:
@@ -545,3 +551,29 @@
             statuses.append(status)
         assert statuses == [200, 503, 503, 503]
         assert 0.2 <= float(headers["Retry-After"]) <= 0.5
+
+
+async def test_a_request_that_crashes_its_upstreams_is_refused() -> None:
+    """Guards against a request that crashes upstream after upstream (BUDGET)."""
+    runners: list[web.ServerRunner] = []
+
+    async def crash(request: web.BaseRequest) -> web.StreamResponse:
+        assert request.transport is not None
+        port = request.transport.get_extra_info("sockname")[1]
+        for runner in runners:
+            if runner.addresses and runner.addresses[0][1] == port:
+                # The process no longer listens.
+                await next(iter(runner.sites)).stop()
+        request.transport.abort()
+        return web.Response()
+
+    async with run_gateway(*[crash] * 6) as gateway:
+        runners.extend(gateway.upstream_runners)
+        statuses = []
+        for _ in range(6):
+            status, _, headers = await gateway.send("/once/x", body=b"deadly")
+            statuses.append(status)
+            await asyncio.sleep(0.1)
+        assert statuses == [502, 502, 502, 503, 503, 503]
+        assert 50 <= float(headers["Retry-After"]) <= 60
+        assert len(gateway.received) == 3
