Tell processes that start what the fleet knows

Cause: an announcement is sent once to each VM by name, and a VM that restarts within the time in which it counts as live keeps its name. The same holds for named rate limits, where it cost one request for each restarted VM.

Change: every VM remembers what it was told, and a process that starts asks up to 12 VMs, three times, to send it what is current.

test_what_one_vm_learns_holds_at_390_before_their_first_request now counts messages after the start, with the bound unchanged.

--- a/packages/gateway/src/damasksaddle_gateway/announcements.py
+++ b/packages/gateway/src/damasksaddle_gateway/announcements.py
@@ -2,8 +2,9 @@
 Tells all other VMs what one VM has learned.
 
 An announcement is sent to every live VM once, also to those that join while it is
-current. It needs no store, so it also arrives while the store is unavailable. A VM that
-restarts within the time in which it counts as live is not told again.
+current. All VMs remember what they were told, and a process that has just started asks
+some of them for it. No store is needed, so this also works while the store is
+unavailable.
 """
 
 import asyncio
@@ -17,7 +18,8 @@
 from damasksaddle.utils import get_logger
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.peers import Peers
-from damasksaddle_protocol import Message
+from damasksaddle_node.peers import Sender
+from damasksaddle_protocol import Message, Ok, RequestAnnouncements
 
 log = get_logger("announce")
 
@@ -25,6 +27,13 @@
 PEER_TIMEOUT_S = 0.3
 # VMs that could not be reached, and VMs that joined, are told after this time.
 RETRY_S = 0.5
+# VMs that a process asks after its start, and how often. If half of the fleet has just
+# restarted, the chance that no VM asked knows anything is 1 in 4,000 each time.
+MAX_ASKED_VMS = 12
+ASK_ROUNDS = 3
+ASK_PAUSE_S = 1.0
+# Pause until other VMs are known and the fleet secret is loaded.
+START_POLL_S = 0.05
 # Announcements in flight; bounds the connections that are opened at once.
 MAX_IN_FLIGHT = 16
 
@@ -49,12 +58,60 @@
         self._announcements: dict[str, _Announcement] = {}
         self._published = asyncio.Event()
         self._in_flight = asyncio.Semaphore(MAX_IN_FLIGHT)
+        self._replies: set[asyncio.Task[None]] = set()
+        # What other VMs announced.
+        self._remembered: dict[str, MessageFactory] = {}
+        peers.handlers.add(RequestAnnouncements, self._on_request)
 
     def publish(self, subject: str, make_message: MessageFactory) -> None:
         """Starts to announce a message; it replaces an earlier one on the subject."""
         self._announcements[subject] = _Announcement(make_message)
         self._published.set()
 
+    def remember(self, subject: str, make_message: MessageFactory) -> None:
+        """Keeps what another VM announced, for processes that start later."""
+        for known, make_known in list(self._remembered.items()):
+            if make_known() is None:
+                del self._remembered[known]
+        self._remembered[subject] = make_message
+
+    async def _on_request(self, message: RequestAnnouncements, sender: Sender) -> Ok:
+        own = {
+            subject: announcement.make_message
+            for subject, announcement in self._announcements.items()
+        }
+        for make_message in {**self._remembered, **own}.values():
+            task = asyncio.create_task(
+                self._inform(sender.vm_id, _Announcement(make_message))
+            )
+            self._replies.add(task)
+            task.add_done_callback(self._replies.discard)
+        return Ok()
+
+    @Service.task
+    async def _ask_for_announcements(self) -> None:
+        for _ in range(ASK_ROUNDS):
+            while not self.should_stop and not await self._ask_some():
+                await self.sleep(START_POLL_S)
+            await self.sleep(ASK_PAUSE_S)
+
+    async def _ask_some(self) -> bool:
+        """Asks some VMs what was announced; returns whether that was possible."""
+        if not self._membership.is_loaded():
+            return False
+        others = [vm for vm in self._membership.live_vms() if vm != self._vm]
+        asked = random.sample(others, min(MAX_ASKED_VMS, len(others)))
+        replied = await asyncio.gather(*(self._ask(vm) for vm in asked))
+        return any(replied) or not asked
+
+    async def _ask(self, vm: str) -> bool:
+        try:
+            await self._peers.request(vm, RequestAnnouncements(), PEER_TIMEOUT_S)
+        except (PeerError, Refusal) as error:
+            log.debug("A VM did not reply.", peer=vm, error=repr(error))
+            return False
+        return True
+
     @Service.task
     async def _send_announcements(self) -> None:
         while not self.should_stop:
--- a/packages/gateway/src/damasksaddle_gateway/quarantine.py
+++ b/packages/gateway/src/damasksaddle_gateway/quarantine.py
@@ -13,7 +13,7 @@
 
 from damasksaddle.exceptions import PeerError, Refusal, RequestQuarantined
 from damasksaddle.utils import Counter, boottime_s, count, get_logger
-from damasksaddle_gateway.announcements import Announcements
+from damasksaddle_gateway.announcements import Announcements, MessageFactory
 from damasksaddle_gateway.coordinators import Coordinators
 from damasksaddle_gateway.crash_counts import MAX_CRASHES, CrashCounts
 from damasksaddle_gateway.peers import Peers
@@ -131,7 +131,7 @@
             return
         quarantine_s = INITIAL_QUARANTINE_S * 2.0 ** (crashes - MAX_CRASHES)
         self._add(message.fingerprint, min(quarantine_s, MAX_QUARANTINE_S))
-        self._announce(message.fingerprint)
+        self._announcements.publish(*self._announcement(message.fingerprint))
 
     def _left_s(self, fingerprint: str) -> float:
         return self._until_s.get(fingerprint, 0.0) - boottime_s()
@@ -149,14 +149,16 @@
             )
         self._until_s[fingerprint] = now_s + left_s
 
-    def _announce(self, fingerprint: str) -> None:
+    def _announcement(self, fingerprint: str) -> tuple[str, MessageFactory]:
+        """Returns the subject and the message of a quarantine while it lasts."""
+
         def make_message() -> Message | None:
             left_s = self._left_s(fingerprint)
             if left_s <= 0:
                 return None
             return AnnounceQuarantine(fingerprint, int(left_s * 1000))
 
-        self._announcements.publish(f"quarantine {fingerprint}", make_message)
+        return f"quarantine {fingerprint}", make_message
 
     async def _on_report(self, message: ReportCrash, sender: Sender) -> Ok:
         self._count(message)
@@ -164,4 +166,5 @@
 
     async def _on_announcement(self, message: AnnounceQuarantine, sender: Sender) -> Ok:
         self._add(message.fingerprint, message.left_ms / 1000)
+        self._announcements.remember(*self._announcement(message.fingerprint))
         return Ok()
--- a/packages/gateway/src/damasksaddle_gateway/upstream_limits.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstream_limits.py
@@ -13,7 +13,7 @@
 
 from damasksaddle.exceptions import Refusal
 from damasksaddle.utils import Counter, boottime_s, count, get_logger
-from damasksaddle_gateway.announcements import Announcements
+from damasksaddle_gateway.announcements import Announcements, MessageFactory
 from damasksaddle_gateway.coordinators import Coordinators
 from damasksaddle_gateway.interfaces import ResponseMetadata
 from damasksaddle_gateway.pacing import Pacer, new_pacer
@@ -123,7 +123,7 @@
             return
         key = _upstream_key(upstream)
         if self._update(key, limit):
-            self._announce(key, limit)
+            self._announcements.publish(key, self._message_factory(key, limit))
 
     async def take_permit(
         self, upstream: Upstream, max_wait_s: float
@@ -230,7 +230,8 @@
                 del self._limits[key]
                 self._pacers.pop(key, None)
 
-    def _announce(self, key: str, limit: RateLimit) -> None:
+    def _message_factory(self, key: str, limit: RateLimit) -> MessageFactory:
+        """Returns what makes the announcement of a limit while it is current."""
         announced_until_s = math.inf
         if limit.per_s is None:
             announced_until_s = boottime_s() + END_ANNOUNCED_S
@@ -243,10 +244,13 @@
                 return None
             return AnnounceLimit(key, _to_message(known.per_s), known.age_ms())
 
-        self._announcements.publish(key, make_message)
+        return make_message
 
     async def _on_announcement(self, message: AnnounceLimit, sender: Sender) -> Ok:
-        self._update(message.upstream, _limit_from(message.limit_per_s, message.age_ms))
+        key = message.upstream
+        limit = _limit_from(message.limit_per_s, message.age_ms)
+        if self._update(key, limit):
+            self._announcements.remember(key, self._message_factory(key, limit))
         return Ok()
 
     async def _on_take_permit(self, message: TakePermit, sender: Sender) -> PermitTaken:
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -374,6 +374,11 @@
     left_ms: int
 
 
+@dataclass(slots=True)
+class RequestAnnouncements:
+    """Asks a VM to send what was announced before the sender started."""
+
+
 Message = (
     Hello
     | Ok
@@ -413,6 +418,7 @@
     | PermitTaken
     | ReportCrash
     | AnnounceQuarantine
+    | RequestAnnouncements
 )
 
 
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -45,6 +45,7 @@
     permitTaken @38 :PermitTaken;
     reportCrash @39 :ReportCrash;
     announceQuarantine @40 :AnnounceQuarantine;
+    requestAnnouncements @41 :RequestAnnouncements;
   }
 }
 
@@ -271,3 +272,5 @@
   fingerprint @0 :Text;
   leftMs @1 :UInt32;         # time until the quarantine ends
 }
+
+struct RequestAnnouncements {}
--- a/tests/gateway/loopback_fleet.py
+++ b/tests/gateway/loopback_fleet.py
@@ -54,16 +54,22 @@
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
-        membership: Any = SimpleNamespace(live_vms=lambda: self.vms)
-        store: Any = SimpleNamespace(is_available=lambda: False)
         for vm in self.vms:
-            peers: Any = LoopbackPeers(vm, self)
-            self.peers[vm] = peers
-            announcements = Announcements(vm, membership, peers)
-            await self._stack.enter_async_context(announcements)
-            coordinators = Coordinators(vm, store, membership, peers)
-            self._add_part(vm, coordinators, peers, announcements)
+            await self.start(vm)
         return self
 
+    async def start(self, vm: str) -> None:
+        """Starts the process of a VM, or replaces it by one that knows nothing."""
+        membership: Any = SimpleNamespace(
+            live_vms=lambda: self.vms, is_loaded=lambda: len(self.peers) > 1
+        )
+        store: Any = SimpleNamespace(is_available=lambda: False)
+        peers: Any = LoopbackPeers(vm, self)
+        self.peers[vm] = peers
+        announcements = Announcements(vm, membership, peers)
+        await self._stack.enter_async_context(announcements)
+        coordinators = Coordinators(vm, store, membership, peers)
+        self._add_part(vm, coordinators, peers, announcements)
+
     async def __aexit__(self, *error: object) -> None:
         await self._stack.aclose()
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -106,6 +106,20 @@
         assert fleet.runs == 3
 
 
+async def test_restarted_vms_know_which_requests_are_deadly() -> None:
+    """Guards against a quarantine that VMs lose when they start again (BUDGET)."""
+    async with CrashingFleet(12) as fleet:
+        for vm in fleet.vms[:3]:
+            await fleet.send_deadly(vm)
+        await asyncio.sleep(5.0)
+        for vm in fleet.vms[3:9]:
+            await fleet.start(vm)
+        await asyncio.sleep(0.2)
+        for vm in fleet.vms:
+            await fleet.send_deadly(vm)
+        assert fleet.runs == 3
+
+
 async def test_requests_beside_a_deadly_one_are_not_quarantined() -> None:
     """Guards against blaming the requests that ran on the same upstreams."""
     async with CrashingFleet(9) as fleet:
--- a/tests/gateway/test_upstream_limits.py
+++ b/tests/gateway/test_upstream_limits.py
@@ -71,6 +71,9 @@
     """Guards against one request from each VM on top of the limit."""
     async with LimitedFleet(390) as fleet:
         fleet.limit_per_s = 8.0
+        # The messages that VMs send after their start.
+        await asyncio.sleep(5.0)
+        fleet.messages = 0
         await fleet.send(fleet.vms[7])
         await asyncio.sleep(1.0)
         assert fleet.messages <= 2 * len(fleet.vms)
@@ -78,6 +81,20 @@
         assert len(fleet.arrivals_s) <= most_allowed(8.0)
 
 
+async def test_a_restarted_vm_knows_the_limit_before_its_first_request() -> None:
+    """Guards against one request from each restarted VM on top of the limit."""
+    async with LimitedFleet(9) as fleet:
+        fleet.limit_per_s = 2.0
+        await fleet.send("vm-0")
+        await asyncio.sleep(5.0)
+        for vm in fleet.vms[1:5]:
+            await fleet.start(vm)
+        await asyncio.sleep(0.2)
+        assert all(
+            limits.limit_per_s(UPSTREAM) == 2.0 for limits in fleet.limits.values()
+        )
+
+
 async def test_an_unreachable_coordinator_does_not_raise_the_limit() -> None:
     """Guards against two VMs that each hand out the whole limit."""
     async with LimitedFleet(9) as fleet:
