Tell a VM that missed a quarantine, and retry when a permitted upstream is gone

A VM whose announcement was lost for good ran a deadly request again each time; its report now brings it the quarantine (test_a_vm_that_missed_a_quarantine_learns_of_it: 4 crashes). A request whose upstream was removed during the wait for a permit was refused; it now tries the others. A limit that one VM has not met for 10 minutes is no longer forgotten there, because the others may still meet it.

--- a/packages/gateway/src/damasksaddle_gateway/announcements.py
+++ b/packages/gateway/src/damasksaddle_gateway/announcements.py
@@ -81,13 +81,15 @@
             for subject, announcement in self._announcements.items()
         }
         for make_message in {**self._remembered, **own}.values():
-            task = asyncio.create_task(
-                self._inform(sender.vm_id, _Announcement(make_message))
-            )
-            self._replies.add(task)
-            task.add_done_callback(self._replies.discard)
+            self.tell(sender.vm_id, make_message)
         return Ok()
 
+    def tell(self, vm: str, make_message: MessageFactory) -> None:
+        """Sends a message to one VM in the background."""
+        task = asyncio.create_task(self._inform(vm, _Announcement(make_message)))
+        self._replies.add(task)
+        task.add_done_callback(self._replies.discard)
+
     @Service.task
     async def _ask_for_announcements(self) -> None:
         for _ in range(ASK_ROUNDS):
--- a/packages/gateway/src/damasksaddle_gateway/quarantine.py
+++ b/packages/gateway/src/damasksaddle_gateway/quarantine.py
@@ -161,6 +161,10 @@
         return f"quarantine {fingerprint}", make_message
 
     async def _on_report(self, message: ReportCrash, sender: Sender) -> Ok:
+        if self._left_s(message.fingerprint) > 0:
+            # The sender does not know of the quarantine, or the request ran before it.
+            _, make_message = self._announcement(message.fingerprint)
+            self._announcements.tell(sender.vm_id, make_message)
         self._count(message)
         return Ok()
 
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -401,7 +401,8 @@
             ]
             upstream = self._placement.choose(free, call.service, call.metadata)
             if upstream is not None:
-                if await self._take_permit(call, upstream, 0.0):
+                permitted = await self._take_permit(call, upstream, 0.0)
+                if permitted and self._is_available(call, upstream):
                     break
                 continue
             if call.rejections >= MAX_REJECTIONS:
@@ -409,9 +410,11 @@
             upstream = self._placement.first_permit(candidates, call.service, vms)
             if upstream is not None:
                 max_wait_s = deadline_s - boottime_s()
-                if await self._take_permit(call, upstream, max_wait_s):
+                if not await self._take_permit(call, upstream, max_wait_s):
+                    raise self._no_upstream_refusal(call)
+                if self._is_available(call, upstream):
                     break
-                raise self._no_upstream_refusal(call)
+                continue
             if not candidates or not await self._placement.wait_for_capacity(
                 candidates, call.service, vms, deadline_s
             ):
@@ -430,20 +433,20 @@
     async def _take_permit(
         self, call: Call, upstream: Upstream, max_wait_s: float
     ) -> bool:
-        """
-        Returns whether the rate limit of an upstream permits the call.
-
-        The upstream may have gone while the call waited for its permit.
-        """
+        """Returns whether the rate limit of an upstream permits the call."""
         match await self._upstream_limits.take_permit(upstream, max_wait_s):
             case Permitted():
-                available = self._config_watcher.available_upstreams(call.service.name)
-                return upstream in available
+                return True
             case Limited(retry_after_s):
                 self._placement.record_limited(upstream, retry_after_s)
                 call.permit_retry_s = retry_after_s
                 return False
 
+    def _is_available(self, call: Call, upstream: Upstream) -> bool:
+        """Tells whether an upstream is still there after the wait for a permit."""
+        available = self._config_watcher.available_upstreams(call.service.name)
+        return upstream in available
+
     @staticmethod
     def _no_upstream_refusal(call: Call) -> Refusal:
         if call.may_have_run:
--- a/packages/gateway/src/damasksaddle_gateway/upstream_limits.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstream_limits.py
@@ -33,9 +33,9 @@
 PERMIT_LIFETIME_S = 0.25
 # The end of a limit is announced for this time.
 END_ANNOUNCED_S = 10.0
-# Limits that no response has confirmed for this time are forgotten, with the state of
-# upstreams that are gone.
-FORGET_AFTER_S = 600.0
+# Limits that no response has confirmed for this time are forgotten; by then the
+# upstream is gone, or every VM asks it so rarely that no limit is exceeded.
+FORGET_AFTER_S = 86_400.0
 # Share of a limit that each VM may grant, by its place in the order of coordinators.
 # The first and the second may both act for a while, and together stay within the
 # tolerance of half of the limit that upstreams have.
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -120,6 +120,20 @@
         assert fleet.runs == 3
 
 
+async def test_a_vm_that_missed_a_quarantine_learns_of_it() -> None:
+    """Guards against a VM that was not told and runs the request again and again."""
+    async with CrashingFleet(9) as fleet:
+        ignorant = rendezvous(DEADLY, fleet.vms)[-1]
+        quarantine = fleet.quarantines[ignorant]
+        for _ in range(3):
+            await fleet.send_deadly(fleet.vms[0])
+        await asyncio.sleep(5.0)
+        quarantine._until_s.clear()
+        for _ in range(5):
+            await fleet.send_deadly(ignorant)
+        assert fleet.runs == 4
+
+
 async def test_requests_beside_a_deadly_one_are_not_quarantined() -> None:
     """Guards against blaming the requests that ran on the same upstreams."""
     async with CrashingFleet(9) as fleet:
