Blame a request again that was completed more than a minute ago

Seen while reading: a fingerprint that a VM had once seen completed was trusted there until 4,096 others had been completed, also if its upstreams changed since. It is trusted for 60 s now. Without the change test_a_request_may_become_deadly fails with 5 crashes instead of 3.

--- a/packages/gateway/src/damasksaddle_gateway/quarantine.py
+++ b/packages/gateway/src/damasksaddle_gateway/quarantine.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -33,8 +34,10 @@
 # VMs that are tried for these copies.
 MAX_REPORT_TRIES = 4
 PEER_TIMEOUT_S = 0.3
-# A request that an upstream completed is not the cause of a crash. Bounds the memory to
-# about 1 MB.
+# A request that an upstream completed within this time is not the cause of a crash. One
+# that was completed earlier may have become one, for example by a new upstream version.
+COMPLETED_S = 60.0
+# Bounds the memory to about 1 MB.
 MAX_COMPLETED = 4096
 
 
@@ -54,7 +57,7 @@
         self._has_crashed = has_crashed
         self._counts = CrashCounts()
         self._until_s: dict[str, float] = {}
-        self._completed: OrderedDict[str, None] = OrderedDict()
+        self._completed_s: OrderedDict[str, float] = OrderedDict()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def register_handlers(self, handlers: Handlers) -> None:
@@ -71,10 +74,10 @@
     def record_completed(self, fingerprints: Iterable[str]) -> None:
         """Records that an upstream answered a request completely."""
         for fingerprint in fingerprints:
-            self._completed[fingerprint] = None
-            self._completed.move_to_end(fingerprint)
-        while len(self._completed) > MAX_COMPLETED:
-            self._completed.popitem(last=False)
+            self._completed_s[fingerprint] = boottime_s()
+            self._completed_s.move_to_end(fingerprint)
+        while len(self._completed_s) > MAX_COMPLETED:
+            self._completed_s.popitem(last=False)
 
     def record_interruption(
         self, fingerprints: Iterable[str], upstream: Upstream
@@ -84,7 +87,12 @@
 
         Finds out in the background whether the upstream has crashed.
         """
-        suspects = set(fingerprints).difference(self._completed)
+        oldest_s = boottime_s() - COMPLETED_S
+        suspects = {
+            fingerprint
+            for fingerprint in fingerprints
+            if self._completed_s.get(fingerprint, -math.inf) < oldest_s
+        }
         if not suspects:
             return
         task = asyncio.create_task(self._report_crashes(suspects, upstream))
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -12,7 +12,11 @@
 from damasksaddle_gateway.calls import request_fingerprints
 from damasksaddle_gateway.coordinators import Coordinators
 from damasksaddle_gateway.crash_counts import CrashCounts
-from damasksaddle_gateway.quarantine import INITIAL_QUARANTINE_S, Quarantine
+from damasksaddle_gateway.quarantine import (
+    COMPLETED_S,
+    INITIAL_QUARANTINE_S,
+    Quarantine,
+)
 from damasksaddle_gateway.routing_config import Upstream, Workspace
 from tests.gateway.loopback_fleet import LoopbackFleet
 
@@ -197,6 +201,17 @@
         assert not set(first).intersection(fingerprints)
 
 
+async def test_a_request_may_become_deadly() -> None:
+    """Guards against trusting a request because it was completed long ago."""
+    async with CrashingFleet(9) as fleet:
+        for quarantine in fleet.quarantines.values():
+            quarantine.record_completed([DEADLY])
+        await asyncio.sleep(COMPLETED_S + 1.0)
+        for _ in range(10):
+            await fleet.send_deadly("vm-0")
+        assert fleet.runs == 3
+
+
 async def test_requests_that_begin_like_completed_ones_are_not_quarantined() -> None:
     """Guards against stopping all prompts that begin like the deadly one."""
     async with CrashingFleet(9) as fleet:
