Bound the announcements to VMs that do not reply

Seen while reading: a VM of an older build closes the connection when it gets a message that it does not know, and with it other requests there. Announcements were repeated to it every 0.5 s, and a process alone among old ones asked 20 times a second without end.

--- a/packages/gateway/src/damasksaddle_gateway/announcements.py
+++ b/packages/gateway/src/damasksaddle_gateway/announcements.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -27,12 +28,15 @@
 PEER_TIMEOUT_S = 0.3
 # VMs that could not be reached, and VMs that joined, are told after this time.
 RETRY_S = 0.5
+# Tries for each VM. A VM of a build that does not know a message closes its connection,
+# which also fails other requests there.
+MAX_TRIES = 6
 # VMs that a process asks after its start, and how often. If half of the fleet has just
 # restarted, the chance that no VM asked knows anything is 1 in 4,000 each time.
 MAX_ASKED_VMS = 12
 ASK_ROUNDS = 3
 ASK_PAUSE_S = 1.0
-# Pause until other VMs are known and the fleet secret is loaded.
+# Pause until other VMs are known and the fleet secret is loaded; it doubles each time.
 START_POLL_S = 0.05
 # Announcements in flight; bounds the connections that are opened at once.
 MAX_IN_FLIGHT = 16
@@ -45,6 +49,11 @@
 class _Announcement:
     make_message: MessageFactory
     informed_vms: set[str] = field(default_factory=set)
+    tries: Counter[str] = field(default_factory=Counter)
+
+    def is_due(self, vm: str) -> bool:
+        """Tells whether a VM has to be told."""
+        return vm not in self.informed_vms and self.tries[vm] < MAX_TRIES
 
 
 class Announcements(Service):
@@ -93,8 +102,10 @@
     @Service.task
     async def _ask_for_announcements(self) -> None:
         for _ in range(ASK_ROUNDS):
-            while not self.should_stop and not await self._ask_some():
-                await self.sleep(START_POLL_S)
+            for number in range(MAX_TRIES):
+                if await self._ask_some():
+                    break
+                await self.sleep(START_POLL_S * 2**number)
             await self.sleep(ASK_PAUSE_S)
 
     async def _ask_some(self) -> bool:
@@ -137,7 +148,7 @@
                 others = [
                     vm
                     for vm in self._membership.live_vms()
-                    if vm != self._vm and vm not in announcement.informed_vms
+                    if vm != self._vm and announcement.is_due(vm)
                 ]
                 random.shuffle(others)
                 for vm in others:
@@ -148,6 +159,7 @@
             message = announcement.make_message()
             if message is None:
                 return
+            announcement.tries[vm] += 1
             try:
                 await self._peers.request(vm, message, PEER_TIMEOUT_S)
             except (PeerError, Refusal) as error:
