--- a/tests/gateway/limited_fleet.py
+++ b/packages/standins/src/damasksaddle_standins/limited_fleet.py
@@ -9,7 +9,7 @@
 from damasksaddle_gateway.interfaces import ResponseMetadata
 from damasksaddle_gateway.routing_config import Upstream
 from damasksaddle_gateway.upstream_limits import Permitted, UpstreamLimits
-from tests.gateway.loopback_fleet import LoopbackFleet
+from damasksaddle_standins.loopback_fleet import LoopbackFleet
 
 UPSTREAM = Upstream("u0", "svc", "127.0.0.1:1", "a", 4, False)
 ANSWER_S = 0.05
@@ -55,6 +55,7 @@
         return True
 
     async def send_steadily(self, vm: str, pause_s: float, until_s: float) -> None:
+        """Sends a request after each pause, and lets each wait for that long."""
         while boottime_s() < until_s:
             await asyncio.gather(self.send(vm, pause_s), asyncio.sleep(pause_s))
 
--- a/tests/gateway/loopback_fleet.py
+++ b/packages/standins/src/damasksaddle_standins/loopback_fleet.py
@@ -1,4 +1,9 @@
-"""VMs that exchange messages within this process, without sockets or a store."""
+"""
+VMs of a gateway fleet that exchange messages within this process.
+
+Sockets and a store are not needed, so hundreds of VMs run on a simulated clock.
+Subclasses add the part of a VM that is played.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -23,6 +28,7 @@
         self.handlers = Handlers()
 
     async def request(self, vm: str, message: Any, timeout_s: float) -> Any:
+        """Returns the response of a VM; raises `PeerUnreachable` without one."""
         self._fleet.messages += 1
         if self._fleet.unreachable & {vm, self._vm}:
             await asyncio.sleep(timeout_s)
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -18,7 +18,7 @@
     Quarantine,
 )
 from damasksaddle_gateway.routing_config import Upstream, Workspace
-from tests.gateway.loopback_fleet import LoopbackFleet
+from damasksaddle_standins.loopback_fleet import LoopbackFleet
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/gateway/test_upstream_limits.py
+++ b/tests/gateway/test_upstream_limits.py
@@ -14,7 +14,7 @@
 from damasksaddle.utils.metrics import counter_value
 from damasksaddle_gateway.pacing import Pacer
 from damasksaddle_gateway.upstream_limits import Limited, Permitted
-from tests.gateway.limited_fleet import UPSTREAM, LimitedFleet
+from damasksaddle_standins.limited_fleet import UPSTREAM, LimitedFleet
 
 pytestmark = pytest.mark.looptime
 
