Log the software version of upstreams, and which stream a request continues

An upstream's entry and each try now name its software version; a try also names the stream and the event after which it continues.

--- a/packages/gateway/src/damasksaddle_gateway/calls.py
+++ b/packages/gateway/src/damasksaddle_gateway/calls.py
@@ -63,5 +63,10 @@
     events: EventSplitter = field(default_factory=EventSplitter)
     response: web.StreamResponse | None = None
 
+    @property
+    def stream_id(self) -> str:
+        """Identifies the stream in all requests that continue it."""
+        return self.metadata.resumed_request_id or self.metadata.request_id
+
     def time_left_s(self) -> float:
         return self.deadline_s - boottime_s()
--- a/packages/gateway/src/damasksaddle_gateway/config_watcher.py
+++ b/packages/gateway/src/damasksaddle_gateway/config_watcher.py
@@ -187,6 +187,8 @@
                     upstream=upstream.id,
                     service=upstream.service,
                     address=upstream.address,
+                    version=upstream.software_version,
+                    started_at_ms=upstream.started_at_ms,
                     draining=upstream.draining,
                 )
         for removed in self.upstreams.keys() - listed.keys():
--- a/packages/gateway/src/damasksaddle_gateway/interfaces.py
+++ b/packages/gateway/src/damasksaddle_gateway/interfaces.py
@@ -37,6 +37,8 @@
 
     `forwarded` contains the headers that are sent to an upstream unchanged.
     `prompt_parts` lists the ids and token counts of the prompt's parts, in order.
+    `last_event_id` is set if the request continues a stream after that event, and
+    `resumed_request_id` names the request that brought the stream's first event.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     prompt_parts: tuple[tuple[str, int], ...]
     last_event_id: str
     forwarded: CIMultiDict[str]
+    resumed_request_id: str = ""
 
     def startable_program_id(self) -> str:
         """
--- a/packages/gateway/src/damasksaddle_gateway/routing_config.py
+++ b/packages/gateway/src/damasksaddle_gateway/routing_config.py
@@ -128,7 +128,8 @@
     """
     An upstream as it registered itself.
 
-    `started_at_ms` distinguishes successive processes that use the same id.
+    `started_at_ms` distinguishes successive processes that use the same id, and
+    `software_version` is the version of the upstream's own software.
     """
 
     id: str
@@ -138,6 +139,7 @@
     slots: int
     draining: bool
     started_at_ms: int = 0
+    software_version: str = ""
 
     @property
     def incarnation(self) -> tuple[str, str, int]:
--- a/packages/standins/src/damasksaddle_standins/faults/upstreams.py
+++ b/packages/standins/src/damasksaddle_standins/faults/upstreams.py
@@ -91,6 +91,7 @@
             "Service": self.service,
             "Address": self.address,
             "Zone": "a",
+            "Version": "v1",
             "Slots": SLOTS,
             "State": self.state,
             "SeqNum": self._sequence_number,
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -60,6 +60,7 @@
         "Service": "app",
         "Address": address,
         "Zone": "a",
+        "Version": "v1",
         "Slots": 4,
         "State": "ready",
         "SeqNum": 1,
--- a/tests/platform/test_gateway_processes.py
+++ b/tests/platform/test_gateway_processes.py
@@ -185,6 +185,7 @@
         "Service": "llm",
         "Address": engine_address,
         "Zone": "a",
+        "Version": "v1",
         "Slots": 8,
         "State": "ready",
         "SeqNum": 1,
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -120,6 +120,7 @@
         {"Slots": -1},
         {"State": "asleep"},
         {"SeqNum": None},
+        {"Version": None},
         {"Zone": ["a"]},
     ],
 )
