--- /dev/null
+++ b/tests/gateway/test_version_joins.py
@@ -0,0 +1,96 @@
+"""Streams over real sockets, from upstreams of two software versions."""
+
+from dataclasses import dataclass, field, replace
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from damasksaddle_gateway.routing_config import Streaming
+from tests.gateway.test_request_handler import (
+    CONFIG,
+    SIGNED,
+    RequestCallback,
+    RunningGateway,
+    route,
+    run_gateway,
+)
+
+EVENTS = 3
+STREAMS = 12
+
+
+@dataclass
+class TwoVersions:
+    """Upstreams u0 and u1 of v1, and u2 and u3 of v2; each break ends a connection."""
+
+    breaks: int = 1
+    sent_by_request: dict[str, list[tuple[str, int]]] = field(default_factory=dict)
+
+    def handlers(self) -> list[RequestCallback]:
+        return [self._handler(version) for version in ("v1", "v1", "v2", "v2")]
+
+    def _handler(self, version: str) -> RequestCallback:
+        async def respond(request: web.BaseRequest) -> web.StreamResponse:
+            response = web.StreamResponse(headers=SIGNED)
+            response.enable_chunked_encoding()
+            await response.prepare(request)
+            sent = self.sent_by_request.setdefault(request.headers["X-Request-Id"], [])
+            first = int(request.headers.get("Last-Event-Id", 0)) + 1
+            for event in range(first, EVENTS + 1):
+                await response.write(b"id: %d\ndata: x\n\n" % event)
+                sent.append((version, event))
+                if event == first and self.breaks > 0:
+                    self.breaks -= 1
+                    assert request.transport is not None
+                    request.transport.close()
+                    return response
+            await response.write_eof()
+            return response
+
+        return respond
+
+    def prepare(self, gateway: RunningGateway, attempts: int) -> None:
+        streams = route("/turn/", Streaming(resumable=True, max_gap_ms=200), attempts)
+        gateway.config_watcher.config = replace(CONFIG, routes=(streams,))
+        gateway.config_watcher.upstreams = {
+            name: replace(upstream, software_version="v1" if name < "u2" else "v2")
+            for name, upstream in gateway.config_watcher.upstreams.items()
+        }
+
+
+async def test_a_broken_stream_goes_on_at_the_version_that_began_it() -> None:
+    """Guards against joining two software versions in one response (ORDER)."""
+    upstreams = TwoVersions()
+    async with run_gateway(*upstreams.handlers()) as gateway:
+        upstreams.prepare(gateway, attempts=3)
+        for stream in range(STREAMS):
+            upstreams.breaks = 1
+            request_id = f"r{stream}"
+            status, body, _ = await gateway.send("/turn/x", X_Request_Id=request_id)
+            sent = upstreams.sent_by_request[request_id]
+            assert (status, body.count(b"id:")) == (200, EVENTS)
+            assert len({version for version, _ in sent}) == 1
+
+
+async def test_a_stream_taken_up_goes_on_at_the_version_that_began_it() -> None:
+    """Guards against joining two software versions over a caller's tries (ORDER)."""
+    upstreams = TwoVersions(breaks=STREAMS)
+    async with run_gateway(*upstreams.handlers()) as gateway:
+        upstreams.prepare(gateway, attempts=1)
+        for stream in range(STREAMS):
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await gateway.send("/turn/x", X_Request_Id=f"r{stream}")
+        for stream in range(STREAMS):
+            status, body, _ = await gateway.send(
+                "/turn/x",
+                X_Request_Id=f"again-{stream}",
+                Last_Event_Id="1",
+                Resumes=f"r{stream}",
+            )
+            sent = [
+                *upstreams.sent_by_request[f"r{stream}"],
+                *upstreams.sent_by_request[f"again-{stream}"],
+            ]
+            assert (status, body.count(b"id:")) == (200, EVENTS - 1)
+            assert len({version for version, _ in sent}) == 1
