Begin and continue a stream at one software version

Callers got streams that were joined from two versions: 200, complete, with nothing to show it (ORDER). Cause: a VM knew no versions. It resumed a stream at any upstream of the service, and did not read which stream a request continues. Class: a choice that binds later requests was made by each request anew and stored nowhere.

Now a row of the store divides 128 shards of programs among the versions, in proportion to their slots. It changes when upstreams of a version appear or leave, so a stream costs no write, and any VM derives the version, also after all were killed. A shard that was moved lately is unsettled: two other VMs remember its streams, and without them the request is refused (503, not run). A request that continues a stream reads the row first, since a VM that missed a move would derive the old version; a VM whose row is older than 8 s begins no streams. If a version has no upstream left, its shards move at once.

Weighed: to write each stream in batches (at 390 VMs a batch holds about one stream), and to ask for the version at the upstream (answers do not carry it).

With a settling time of 0, or without reading the row, test_stream_versions fails.

--- a/packages/core/src/damasksaddle/exceptions.py
+++ b/packages/core/src/damasksaddle/exceptions.py
@@ -219,6 +219,12 @@
     title = "Upstreams crashed under this request, so it is not run for some time."
 
 
+class StreamVersionUnknown(Refusal):
+    code = "stream_version_unknown"
+    status = 503
+    title = "No VM knows the software version at which the stream began."
+
+
 class UpstreamFailed(Refusal):
     code = "upstream_failed"
     status = 502
--- a/packages/core/src/damasksaddle/utils/metrics.py
+++ b/packages/core/src/damasksaddle/utils/metrics.py
@@ -37,6 +37,7 @@
     RATE_TOKENS = "rate.tokens"
     UPSTREAM_LIMITS = "upstream_limits"
     QUARANTINES = "quarantines"
+    CONTINUED_STREAMS = "streams.continued"
 
 
 class Timing(StrEnum):
@@ -78,6 +79,7 @@
         "answers of upstreams that named a rate limit, and limits that ended"
     ),
     Counter.QUARANTINES: "requests that were quarantined for crashing upstreams",
+    Counter.CONTINUED_STREAMS: "requests that continue a stream",
     Timing.RATE_WAIT: "wait for the workspace's rate",
     Timing.QUEUE_WAIT: "wait in the queue of a pool",
     Timing.FIRST_TOKEN: "from a call's start at its owner to its first token",
--- a/packages/gateway/src/damasksaddle_gateway/calls.py
+++ b/packages/gateway/src/damasksaddle_gateway/calls.py
@@ -38,7 +38,8 @@
     `deadline_s` is the time at which the request times out. `may_have_run` is set while
     an upstream has received the request and has not reported that it did not run it.
     `permit_retry_s` is the time until an upstream's rate limit permits another request.
-    `response` is set once the response has started.
+    `response` is set once the response has started, and `version` once the upstream
+    software version of a stream is fixed.
     """
 
     metadata: RequestMetadata
@@ -62,6 +63,25 @@
     reservation: TurnReservation | None = None
     events: EventSplitter = field(default_factory=EventSplitter)
     response: web.StreamResponse | None = None
+    version: str | None = None
+
+    @property
+    def continues_stream(self) -> bool:
+        """Tells whether an earlier request began the stream."""
+        return bool(self.metadata.last_event_id or self.metadata.resumed_request_id)
+
+    @property
+    def version_key(self) -> str:
+        """
+        Returns what decides on the version of a stream, in all requests for it.
+
+        Empty if the request names neither a program nor the stream that it continues.
+        """
+        if self.metadata.program is not None:
+            return self.metadata.program.id
+        if self.continues_stream:
+            return self.metadata.resumed_request_id
+        return self.metadata.request_id
 
     @property
     def stream_id(self) -> str:
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -26,10 +26,12 @@
 from damasksaddle_gateway.request_handler import RequestHandler
 from damasksaddle_gateway.settings import LIVE_SETTINGS, Address, GatewaySettings
 from damasksaddle_gateway.store import StoreCircuitBreaker
+from damasksaddle_gateway.stream_versions import StreamVersions
 from damasksaddle_gateway.token_buckets import TokenBuckets
 from damasksaddle_gateway.turns import TurnBudgets
 from damasksaddle_gateway.upstream_limits import UpstreamLimits
 from damasksaddle_gateway.upstreams import UpstreamClient, refuses_connections
+from damasksaddle_gateway.version_splits import VersionSplits
 
 log = get_logger("gateway")
 
@@ -125,6 +127,11 @@
             coordinators, self.peers, self.announcements, refuses_connections
         )
         self.quarantine.register_handlers(self.peers.handlers)
+        self.version_splits = VersionSplits(table, self.config_watcher, coordinators)
+        self.stream_versions = StreamVersions(
+            self.version_splits, coordinators, self.peers, table.is_available
+        )
+        self.stream_versions.register_handlers(self.peers.handlers)
         self.upstreams = UpstreamClient(codec, self.upstream_limits)
         self.request_handler = RequestHandler(
             self.config_watcher,
@@ -135,6 +142,7 @@
             self.upstreams,
             self.upstream_limits,
             self.quarantine,
+            self.stream_versions,
             codec,
             settings.key_revocation_ms,
         )
@@ -154,6 +162,7 @@
             self.announcements,
             self.turns,
             self.budgets,
+            self.version_splits,
         ]
 
     async def on_start(self) -> None:
--- a/packages/gateway/src/damasksaddle_gateway/placement.py
+++ b/packages/gateway/src/damasksaddle_gateway/placement.py
@@ -159,16 +159,19 @@
         """Returns the upstream to try next, or None if there is none."""
         if not candidates:
             return None
+        candidates = self.healthy(candidates) or candidates
+        if service.engine is not None and metadata.program is not None:
+            return self._preferred_engine(candidates, metadata.program.id)
+        return self._least_outstanding(candidates)
+
+    def healthy(self, candidates: list[Upstream]) -> list[Upstream]:
+        """Returns the upstreams that did not fail recently."""
         now_s = boottime_s()
-        healthy = [
+        return [
             candidate
             for candidate in candidates
             if self.upstream_state(candidate).avoid_until_s <= now_s
         ]
-        candidates = healthy or candidates
-        if service.engine is not None and metadata.program is not None:
-            return self._preferred_engine(candidates, metadata.program.id)
-        return self._least_outstanding(candidates)
 
     def _preferred_engine(self, candidates: list[Upstream], program: str) -> Upstream:
         by_id = {upstream.id: upstream for upstream in candidates}
--- a/packages/gateway/src/damasksaddle_gateway/relay.py
+++ b/packages/gateway/src/damasksaddle_gateway/relay.py
@@ -12,6 +12,7 @@
 from damasksaddle.utils import Counter, count, get_logger
 from damasksaddle_gateway.calls import Call
 from damasksaddle_gateway.interfaces import HeaderCodec
+from damasksaddle_gateway.stream_versions import StreamVersions
 from damasksaddle_gateway.upstreams import ResponseInterrupted, UpstreamResponse
 
 log = get_logger("relay")
@@ -20,8 +21,9 @@
 class ResponseRelay:
     """Writes upstream responses to callers."""
 
-    def __init__(self, codec: HeaderCodec) -> None:
+    def __init__(self, codec: HeaderCodec, stream_versions: StreamVersions) -> None:
         self._codec = codec
+        self._stream_versions = stream_versions
 
     async def send_buffered(
         self, call: Call, upstream_response: UpstreamResponse
@@ -67,6 +69,7 @@
         self, request: web.BaseRequest, call: Call, upstream_response: UpstreamResponse
     ) -> web.StreamResponse:
         if call.response is None:
+            self._stream_versions.record_start(call, upstream_response.upstream)
             headers = self._codec.response_headers(upstream_response.headers)
             response = web.StreamResponse(
                 status=upstream_response.status, headers=headers
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -49,8 +49,10 @@
     RoutingConfig,
     Streaming,
     Upstream,
+    is_resumable,
     is_retryable,
 )
+from damasksaddle_gateway.stream_versions import StreamVersions
 from damasksaddle_gateway.turns import TurnBudgets
 from damasksaddle_gateway.upstream_limits import Limited, Permitted, UpstreamLimits
 from damasksaddle_gateway.upstreams import (
@@ -150,6 +152,7 @@
         upstreams: UpstreamClient,
         upstream_limits: UpstreamLimits,
         quarantine: Quarantine,
+        stream_versions: StreamVersions,
         codec: HeaderCodec,
         key_revocation_ms: float,
     ) -> None:
@@ -161,8 +164,9 @@
         self._upstreams = upstreams
         self._upstream_limits = upstream_limits
         self._quarantine = quarantine
+        self._stream_versions = stream_versions
         self._codec = codec
-        self._relay = ResponseRelay(codec)
+        self._relay = ResponseRelay(codec, stream_versions)
         self._known_upstreams: dict[str, Upstream] = {}
         # How long a withdrawn key may remain accepted.
         self.key_revocation_ms = key_revocation_ms
@@ -302,6 +306,8 @@
             if call.time_left_s() <= 0:
                 raise TimeoutError
             async with asyncio.timeout(call.time_left_s()):
+                if is_resumable(call.route.kind) and call.continues_stream:
+                    call.version = await self._stream_versions.find(call)
                 await self._reserve(call)
                 return await self._try_upstreams(request, call)
         except TimeoutError as error:
@@ -386,13 +392,14 @@
             if self._known_upstreams is not self._config_watcher.upstreams:
                 self._known_upstreams = self._config_watcher.upstreams
                 self._placement.retain(list(self._known_upstreams.values()))
+            version = await self._version(call)
             candidates = [
                 upstream
-                for upstream in self._config_watcher.available_upstreams(
-                    call.service.name
-                )
-                if upstream.id not in call.tried_upstreams
+                for upstream in self._untried_upstreams(call)
+                if version is None or upstream.software_version == version
             ]
+            if not candidates and await self._reassign(call, version):
+                continue
             vms = len(self._membership.live_vms())
             free = [
                 candidate
@@ -430,6 +437,43 @@
         measure(Timing.PLACEMENT_WAIT, (boottime_s() - started_s) * 1000)
         return upstream
 
+    def _untried_upstreams(self, call: Call) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self._config_watcher.available_upstreams(call.service.name)
+            if upstream.id not in call.tried_upstreams
+        ]
+
+    async def _version(self, call: Call) -> str | None:
+        """Returns the upstream version that a call needs, or None if any will do."""
+        if call.version is not None or not is_resumable(call.route.kind):
+            return call.version
+        return await self._stream_versions.splits.assigned_version(
+            call.service.name, call.version_key
+        )
+
+    async def _reassign(self, call: Call, version: str | None) -> bool:
+        """
+        Moves a stream that has not begun to another version if its own has no upstream.
+
+        Returns whether that was possible.
+        """
+        if version is None or call.version is not None:
+            return False
+        others = self._placement.healthy(self._untried_upstreams(call))
+        upstream = self._placement.choose(others, call.service, call.metadata)
+        if upstream is None:
+            return False
+        splits, service = self._stream_versions.splits, call.service.name
+        available = self._config_watcher.available_upstreams(service)
+        if any(listed.software_version == version for listed in available):
+            await splits.move_shard(
+                service, call.version_key, upstream.software_version
+            )
+        else:
+            await splits.rebalance(service)
+        return await self._version(call) != version
+
     async def _take_permit(
         self, call: Call, upstream: Upstream, max_wait_s: float
     ) -> bool:
--- a/packages/gateway/src/damasksaddle_gateway/routing_config.py
+++ b/packages/gateway/src/damasksaddle_gateway/routing_config.py
@@ -47,6 +47,15 @@
             return resumable
 
 
+def is_resumable(kind: RouteKind) -> bool:
+    """Tells whether another request may continue an interrupted response."""
+    match kind:
+        case Streaming(resumable=resumable):
+            return resumable
+        case Idempotent() | AtMostOnce():
+            return False
+
+
 @dataclass(frozen=True, slots=True)
 class Target:
     """A service that receives a weighted share of a route's requests."""
--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -85,6 +85,7 @@
 class UpstreamResponse:
     """The head of an upstream's response; `metadata` is decoded from it."""
 
+    upstream: Upstream
     status: int
     headers: CIMultiDictProxy[str]
     metadata: ResponseMetadata
@@ -204,7 +205,7 @@
             raise UpstreamRejected(response.status, metadata.misdirected)
         connection = _connection_ending_body(response)
         return UpstreamResponse(
-            response.status, response.headers, metadata, response, connection
+            upstream, response.status, response.headers, metadata, response, connection
         )
 
 
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -374,6 +374,30 @@
     left_ms: int
 
 
+@dataclass(slots=True)
+class RecordStream:
+    """Tells which software version of a service began a stream."""
+
+    service: str
+    stream: str
+    version: str
+
+
+@dataclass(slots=True)
+class FindStream:
+    """Asks which software version of a service began a stream."""
+
+    service: str
+    stream: str
+
+
+@dataclass(slots=True)
+class StreamFound:
+    """The version that began a stream; empty if the VM does not know it."""
+
+    version: str
+
+
 @dataclass(slots=True)
 class RequestAnnouncements:
     """Asks a VM to send what was announced before the sender started."""
@@ -419,6 +443,9 @@
     | ReportCrash
     | AnnounceQuarantine
     | RequestAnnouncements
+    | RecordStream
+    | FindStream
+    | StreamFound
 )
 
 
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -46,6 +46,9 @@
     reportCrash @39 :ReportCrash;
     announceQuarantine @40 :AnnounceQuarantine;
     requestAnnouncements @41 :RequestAnnouncements;
+    recordStream @42 :RecordStream;
+    findStream @43 :FindStream;
+    streamFound @44 :StreamFound;
   }
 }
 
@@ -274,3 +277,18 @@
 }
 
 struct RequestAnnouncements {}
+
+struct RecordStream {
+  service @0 :Text;
+  stream @1 :Text;           # id of the request that began the stream
+  version @2 :Text;          # software version of its upstream
+}
+
+struct FindStream {
+  service @0 :Text;
+  stream @1 :Text;
+}
+
+struct StreamFound {
+  version @0 :Text;          # empty if the VM does not know it
+}
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -37,10 +37,12 @@
     Workspace,
 )
 from damasksaddle_gateway.store import StoreCircuitBreaker
+from damasksaddle_gateway.stream_versions import StreamVersions
 from damasksaddle_gateway.token_buckets import TokenBuckets
 from damasksaddle_gateway.turns import TurnBudgets
 from damasksaddle_gateway.upstream_limits import UpstreamLimits
 from damasksaddle_gateway.upstreams import UpstreamClient, refuses_connections
+from damasksaddle_gateway.version_splits import VersionSplits
 from damasksaddle_platform.headers import PlatformHeaderCodec
 from damasksaddle_platform.records import RecordDecoder
 from damasksaddle_standins.versioned_table import MemoryVersionedTable, VersionedRows
@@ -149,6 +151,8 @@
     announcements = Announcements(settings.vm, membership, peers)
     limits = UpstreamLimits(coordinators, announcements)
     quarantine = Quarantine(coordinators, peers, announcements, refuses_connections)
+    splits = VersionSplits(table, config_watcher, coordinators)
+    versions = StreamVersions(splits, coordinators, peers, table.is_available)
     client = UpstreamClient(codec, limits)
     await client.start()
     request_handler = RequestHandler(
@@ -160,6 +164,7 @@
         client,
         limits,
         quarantine,
+        versions,
         codec,
         5000.0,
     )
