Do not believe a refusal that may be a repeated one

A request that an upstream rejected is tried there again with the same id, so the id does not tell the copies apart; a refusal without an id was believed on any connection.

Now such a further try uses a connection of its own, and a refusal without an id counts only on a connection that has carried no request before. A copy that bears another request's id was already not believed, and bytes on an idle connection already close it.

--- a/packages/gateway/src/damasksaddle_gateway/calls.py
+++ b/packages/gateway/src/damasksaddle_gateway/calls.py
@@ -57,6 +57,7 @@
     attempts: int = 0
     tried_upstreams: list[str] = field(default_factory=list)
     rejections: int = 0
+    rejected_by: set[str] = field(default_factory=set)
     permit_retry_s: float = 0.0
     may_have_run: bool = False
     tokens_used: int = 0
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -373,6 +373,7 @@
             except UpstreamRejected as error:
                 self._placement.record_rejection(upstream)
                 call.rejections += 1
+                call.rejected_by.add(upstream.id)
                 if not error.misdirected:
                     # The upstream may have capacity again shortly.
                     call.tried_upstreams.remove(upstream.id)
@@ -525,6 +526,7 @@
             headers,
             call.body,
             call.metadata.request_id,
+            fresh_connection=upstream.id in call.rejected_by,
         )
         may_have_run_before = call.may_have_run
         call.may_have_run = True
--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -73,9 +73,26 @@
         super().connection_lost(exc)
 
 
+@dataclass(slots=True)
+class _Attempt:
+    """What is known of one attempt; aiohttp passes it to the trace callbacks."""
+
+    request_id: str
+    connection_reused: bool = False
+
+
+async def _on_connection_reused(
+    session: aiohttp.ClientSession, context: Any, params: Any
+) -> None:
+    context.trace_request_ctx.connection_reused = True
+
+
 class _Connector(aiohttp.TCPConnector):
-    def __init__(self) -> None:
-        super().__init__(limit=0, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False)
+    def __init__(self, keepalive_s: float | None) -> None:
+        keepalive: dict[str, Any] = {"force_close": True}
+        if keepalive_s is not None:
+            keepalive = {"keepalive_timeout": keepalive_s}
+        super().__init__(limit=0, use_dns_cache=False, **keepalive)
         self._factory: partial[Any] = partial(
             _Connection, loop=asyncio.get_running_loop()
         )
@@ -127,11 +144,21 @@
         self._codec = codec
         self._limits = limits
         self._session: aiohttp.ClientSession | None = None
+        # For requests that must not use a kept connection.
+        self._closing_session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
-        """Opens the client session; requires a running event loop."""
-        self._session = aiohttp.ClientSession(
-            connector=_Connector(),
+        """Opens the client sessions; requires a running event loop."""
+        self._session = self._open_session(KEEPALIVE_S)
+        self._closing_session = self._open_session(None)
+
+    @staticmethod
+    def _open_session(keepalive_s: float | None) -> aiohttp.ClientSession:
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_reuseconn.append(_on_connection_reused)
+        session = aiohttp.ClientSession(
+            connector=_Connector(keepalive_s),
+            trace_configs=[trace],
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
@@ -143,12 +170,14 @@
             ),
         )
         # aiohttp would retry idempotent methods, but here the route decides on retries.
-        self._session._retry_connection = False
+        session._retry_connection = False
+        return session
 
     async def stop(self) -> None:
         """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._closing_session):
+            if session is not None:
+                await session.close()
 
     @asynccontextmanager
     async def send(
@@ -159,31 +188,37 @@
         headers: CIMultiDict[str],
         body: bytes,
         request_id: str,
+        fresh_connection: bool = False,
     ) -> AsyncIterator[UpstreamResponse]:
         """
         Sends a request once and yields the head of the response.
 
+        `fresh_connection` is needed for a request that the upstream rejected before: on
+        the same connection, a repeated rejection looks like that of this attempt.
         Raises `UpstreamUnreachable`, `UpstreamRejected` or `ResponseInterrupted`.
         Leaving the context before the body is read closes the connection, which cancels
         the request at the upstream.
         """
-        assert self._session is not None
+        session = self._closing_session if fresh_connection else self._session
+        assert session is not None
+        attempt = _Attempt(request_id)
         url = URL(f"http://{upstream.address}{raw_path}", encoded=True)
         sent_s = boottime_s()
         try:
-            response = await self._session.request(
+            response = await session.request(
                 method,
                 url,
                 headers=headers,
                 data=body or None,
                 allow_redirects=False,
+                trace_request_ctx=attempt,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachable(repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise ResponseInterrupted(repr(error)) from error
         try:
-            yield await self._head(response, request_id, upstream, sent_s)
+            yield await self._head(response, attempt, upstream, sent_s)
         finally:
             if not response.content.is_eof():
                 response.close()
@@ -192,14 +227,17 @@
     async def _head(
         self,
         response: aiohttp.ClientResponse,
-        request_id: str,
+        attempt: _Attempt,
         upstream: Upstream,
         sent_s: float,
     ) -> UpstreamResponse:
         metadata = self._codec.decode_response(response.status, response.headers)
-        if metadata.request_id and metadata.request_id != request_id:
+        if metadata.request_id and metadata.request_id != attempt.request_id:
             response.close()
             raise ResponseInterrupted("the response belongs to another request")
+        if metadata.not_run and not metadata.request_id and attempt.connection_reused:
+            response.close()
+            raise ResponseInterrupted("the rejection may be that of an earlier request")
         self._limits.record_response(upstream, metadata, sent_s)
         if metadata.not_run:
             raise UpstreamRejected(response.status, metadata.misdirected)
--- /dev/null
+++ b/tests/gateway/test_faulty_answers.py
@@ -0,0 +1,103 @@
+"""Upstreams whose answers do not fit the request."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+from multidict import CIMultiDict
+
+from damasksaddle_gateway.routing_config import Upstream
+from tests.gateway.test_request_handler import (
+    run_gateway,
+)
+
+
+@dataclass
+class RawUpstream:
+    """
+    An upstream that writes bytes of its own.
+
+    `answer` gets the request's id and the number of the request on its connection.
+    """
+
+    answer: Callable[[str, int], bytes]
+    runs: list[str] = field(default_factory=list)
+    address: str = ""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        number = 0
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                await reader.readexactly(len(b"body"))
+                number += 1
+                lines = dict(line.split(": ") for line in head.split("\r\n")[1:-2])
+                request_id = CIMultiDict(lines)["X-Request-Id"]
+                writer.write(self.answer(request_id, number))
+        except asyncio.IncompleteReadError:
+            writer.close()
+
+    def run(self, request_id: str) -> bytes:
+        self.runs.append(request_id)
+        return (
+            f"HTTP/1.1 200 OK\r\nX-Server-Signature: s1\r\nX-Request-Id: {request_id}"
+            "\r\nContent-Length: 4\r\n\r\ndone"
+        ).encode()
+
+
+def refusal(request_id: str = "") -> bytes:
+    id_line = f"X-Request-Id: {request_id}\r\n" if request_id else ""
+    return (
+        f"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n{id_line}Content-Length: 0\r\n\r\n"
+    ).encode()
+
+
+@asynccontextmanager
+async def serve_raw(upstream: RawUpstream) -> AsyncIterator[Upstream]:
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    yield Upstream("u", "svc", f"{host}:{port}", "a", 4, False)
+    server.close()
+
+
+async def test_a_repeated_refusal_is_not_taken_for_the_one_of_the_next_try() -> None:
+    """Guards against running a request twice after a repeated refusal (TWICE)."""
+    refused = False
+
+    def answer(request_id: str, number: int) -> bytes:
+        nonlocal refused
+        if not refused:
+            refused = True
+            return refusal(request_id)
+        repeated = refusal(request_id) if number > 1 else b""
+        return repeated + upstream.run(request_id)
+
+    upstream = RawUpstream(answer)
+    async with run_gateway() as gateway, serve_raw(upstream) as entry:
+        gateway.config_watcher.upstreams["u"] = entry
+        status, _, _ = await gateway.send("/once/x")
+        assert (status, upstream.runs) == (200, ["r1"])
+
+
+@pytest.mark.parametrize("named", [True, False])
+async def test_a_repeated_refusal_is_not_taken_for_that_of_another_request(
+    named: bool,
+) -> None:
+    """Guards against telling the next caller that its request did not run (REFUSED)."""
+
+    def answer(request_id: str, number: int) -> bytes:
+        if request_id == "r1" and number == 1:
+            return refusal("r1" if named else "")
+        return refusal("r1" if named else "") + upstream.run(request_id)
+
+    upstream = RawUpstream(answer)
+    async with run_gateway() as gateway, serve_raw(upstream) as entry:
+        gateway.config_watcher.upstreams["u"] = entry
+        await gateway.send("/once/x", X_Deadline_Ms="40")
+        upstream.runs.clear()
+        status, _, _ = await gateway.send("/once/x", X_Request_Id="r2")
+        assert (status, upstream.runs) == (502, ["r2"])
