Continue a stream only with events that follow the last one

Now the content type must be that of the first answer, and each event needs an id that follows the last one the caller has. What breaks this is treated as broken off, so another upstream may be tried within the route's attempts.

--- a/packages/gateway/src/damasksaddle_gateway/events.py
+++ b/packages/gateway/src/damasksaddle_gateway/events.py
@@ -1,6 +1,6 @@
 """Splits a stream of server-sent events into complete events."""
 
-from damasksaddle.exceptions import SizeLimitExceeded
+from damasksaddle.exceptions import DamasksaddleError, SizeLimitExceeded
 
 SEPARATOR = b"\n\n"
 # Far above any event; bytes without a separator are not buffered without end.
@@ -8,6 +8,10 @@
 _ID_FIELD = b"id:"
 
 
+class EventOutOfOrder(DamasksaddleError):
+    """An event does not follow the last one of its stream."""
+
+
 class EventSplitter:
     """
     Buffers received bytes and returns complete events.
@@ -20,11 +24,14 @@
     [b'id: 1\\ndata: a\\n\\n']
     >>> splitter.last_id
     '1'
+
+    `last_id` is the id of the last event that the caller has. An event that does not
+    follow it is not part of the stream.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, last_id: str = "") -> None:
         self._buffer = b""
-        self.last_id = ""
+        self.last_id = last_id
         self.count = 0
 
     @property
@@ -33,20 +40,33 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Returns the events that are now complete; raises `SizeLimitExceeded`."""
+        """
+        Returns the events that are now complete.
+
+        Raises `SizeLimitExceeded`, or `EventOutOfOrder` before any event is returned.
+        """
         *events, self._buffer = (self._buffer + data).split(SEPARATOR)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise SizeLimitExceeded(f"an event of more than {MAX_EVENT_BYTES} bytes")
+        count, last_id = self.count + len(events), self.last_id
         for event in events:
-            self._record(event)
+            last_id = _next_id(last_id, event)
+        self.count, self.last_id = count, last_id
         return [event + SEPARATOR for event in events]
 
     def reset(self) -> None:
         """Discards the incomplete event before the stream is resumed elsewhere."""
         self._buffer = b""
 
-    def _record(self, event: bytes) -> None:
-        self.count += 1
-        for line in event.split(b"\n"):
-            if line.startswith(_ID_FIELD):
-                self.last_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
+
+def _next_id(last_id: str, event: bytes) -> str:
+    """Returns the id of the event that follows one; raises `EventOutOfOrder`."""
+    event_id = last_id
+    for line in event.split(b"\n"):
+        if line.startswith(_ID_FIELD):
+            event_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
+    if last_id and event_id == last_id:
+        raise EventOutOfOrder(f"an event without an id of its own after {last_id}")
+    if last_id.isdigit() and event_id.isdigit() and int(event_id) <= int(last_id):
+        raise EventOutOfOrder(f"event {event_id} after event {last_id}")
+    return event_id
--- a/packages/gateway/src/damasksaddle_gateway/relay.py
+++ b/packages/gateway/src/damasksaddle_gateway/relay.py
@@ -6,11 +6,12 @@
 terminated as if it were complete.
 """
 
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from damasksaddle.exceptions import OutcomeUnknown, SizeLimitExceeded
 from damasksaddle.utils import Counter, count, get_logger
 from damasksaddle_gateway.calls import Call
+from damasksaddle_gateway.events import EventOutOfOrder
 from damasksaddle_gateway.interfaces import HeaderCodec
 from damasksaddle_gateway.stream_versions import StreamVersions
 from damasksaddle_gateway.upstreams import ResponseInterrupted, UpstreamResponse
@@ -38,6 +39,8 @@
         self, request: web.BaseRequest, call: Call, upstream_response: UpstreamResponse
     ) -> web.StreamResponse:
         call.events.reset()
+        if call.response is not None:
+            _check_continues(call.response, upstream_response)
         engine = call.service.engine
         tokens_per_event = engine.tokens_per_event if engine else 0
         async for chunk in upstream_response.chunks():
@@ -62,7 +65,7 @@
     def _split(call: Call, chunk: bytes) -> list[bytes]:
         try:
             return call.events.feed(chunk)
-        except SizeLimitExceeded as error:
+        except (EventOutOfOrder, SizeLimitExceeded) as error:
             raise ResponseInterrupted(str(error)) from error
 
     async def _start_stream(
@@ -98,3 +101,12 @@
         if request.transport is not None:
             request.transport.close()
         return call.response
+
+
+def _check_continues(
+    response: web.StreamResponse, upstream_response: UpstreamResponse
+) -> None:
+    """Raises unless an upstream's response can continue one that has started."""
+    content_type = upstream_response.headers.get(hdrs.CONTENT_TYPE, "")
+    if content_type != response.headers.get(hdrs.CONTENT_TYPE, ""):
+        raise ResponseInterrupted(f"a stream cannot continue as {content_type!r}")
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -35,6 +35,7 @@
 )
 from damasksaddle_gateway.calls import Call, request_fingerprints
 from damasksaddle_gateway.config_watcher import ConfigWatcher
+from damasksaddle_gateway.events import EventSplitter
 from damasksaddle_gateway.interfaces import HeaderCodec, RequestMetadata
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.placement import Placement
@@ -274,6 +275,7 @@
             started_s=started_s,
             deadline_s=started_s + time_ms / 1000 - RESPONSE_MARGIN_S,
             last_event_id=metadata.last_event_id,
+            events=EventSplitter(metadata.last_event_id),
             draining=self.draining,
         )
         if _exceeds_engine_memory(call):
--- a/tests/gateway/test_faulty_answers.py
+++ b/tests/gateway/test_faulty_answers.py
@@ -1,18 +1,27 @@
-"""Upstreams whose answers do not fit the request."""
+"""Upstreams that repeat refusals, or go on with a stream in a way that is no stream."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+import aiohttp
 import pytest
+from aiohttp import web
 from multidict import CIMultiDict
 
-from damasksaddle_gateway.routing_config import Upstream
+from damasksaddle_gateway.routing_config import Streaming, Upstream
 from tests.gateway.test_request_handler import (
+    CONFIG,
+    SIGNED,
+    RequestCallback,
+    route,
     run_gateway,
 )
 
+EVENT_1 = b"id: 1\ndata: a\n\n"
+EVENT_2 = b"id: 2\ndata: b\n\n"
+
 
 @dataclass
 class RawUpstream:
@@ -101,3 +110,69 @@
         upstream.runs.clear()
         status, _, _ = await gateway.send("/once/x", X_Request_Id="r2")
         assert (status, upstream.runs) == (502, ["r2"])
+
+
+def broken_then(second: web.Response | list[bytes]) -> RequestCallback:
+    """Sends one event and breaks off; answers the next request with `second`."""
+    requests = 0
+
+    async def respond(request: web.BaseRequest) -> web.StreamResponse:
+        nonlocal requests
+        requests += 1
+        if requests > 1 and isinstance(second, web.Response):
+            return second
+        response = web.StreamResponse(headers=SIGNED)
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for event in [EVENT_1] if requests == 1 else second:
+            assert isinstance(event, bytes)
+            await response.write(event)
+        if requests == 1:
+            await asyncio.sleep(0.02)
+            assert request.transport is not None
+            request.transport.close()
+        else:
+            await response.write_eof()
+        return response
+
+    return respond
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        web.Response(status=500, text="id: 2\ndata: error\n\n", headers=SIGNED),
+        web.Response(status=503, text="an error\n\n", headers=SIGNED),
+        web.Response(status=206, text="id: 2\ndata: error\n\n", headers=SIGNED),
+        web.Response(text="id: 2\ndata: an error\n\n", headers=SIGNED),
+        [b"HTTP/1.1 500 Error\r\n\r\n\n\n"],
+        [EVENT_1, EVENT_2],
+    ],
+    ids=["500", "503", "206", "text", "head", "from-the-start"],
+)
+async def test_what_is_no_continuation_is_not_joined_to_a_stream(
+    second: web.Response | list[bytes],
+) -> None:
+    """Guards against an error or a repeated event within a stream (ORDER, MIXED)."""
+    handler = broken_then(second)
+    streams = route("/turn/", Streaming(resumable=True, max_gap_ms=200), 2)
+    async with run_gateway(handler, handler) as gateway:
+        gateway.config_watcher.config = replace(CONFIG, routes=(streams,))
+        headers = {
+            "Host": "desk.example",
+            "Authorization": "Token k3fexd9dnn2",
+            "X-Request-Id": "r1",
+            "X-Deadline-Ms": "800",
+        }
+        url = gateway.url + "/turn/x"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, headers=headers, data=b"body") as response,
+        ):
+            received = b""
+            with pytest.raises(aiohttp.ClientPayloadError):
+                async for chunk in response.content.iter_any():
+                    received += chunk
+        assert received == EVENT_1
+        assert len(gateway.received) == 2
