--- a/tests/gateway/test_faulty_answers.py
+++ b/tests/gateway/test_faulty_answers.py
@@ -1,6 +1,8 @@
 """Upstreams that repeat refusals, or go on with a stream in a way that is no stream."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -176,3 +178,60 @@
                     received += chunk
         assert received == EVENT_1
         assert len(gateway.received) == 2
+
+
+def unframed(body: bytes, reset: bool = False, pause_s: float = 0.0) -> RequestCallback:
+    """Answers with neither a length nor chunks, and ends with the connection."""
+
+    async def respond(request: web.BaseRequest) -> web.StreamResponse:
+        transport = request.transport
+        assert transport is not None
+        transport.write(
+            b"HTTP/1.1 200 OK\r\nX-Server-Signature: s1\r\n"
+            b"Content-Type: text/event-stream\r\n\r\n" + body
+        )
+        await asyncio.sleep(pause_s)
+        if reset:
+            linger = struct.pack("ii", 1, 0)
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+            transport.abort()
+        else:
+            transport.close()
+        return web.Response()
+
+    return respond
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/turn/x"])
+async def test_an_unframed_answer_that_ends_with_its_connection_is_whole(
+    path: str,
+) -> None:
+    """Guards against losing an answer that has neither a length nor chunks."""
+    async with run_gateway(unframed(EVENT_1 + EVENT_2)) as gateway:
+        status, body, _ = await gateway.send(path)
+        assert (status, body) == (200, EVENT_1 + EVENT_2)
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+@pytest.mark.parametrize("path", ["/once/x", "/turn/x"])
+async def test_an_unframed_answer_that_is_reset_does_not_look_whole(
+    path: str, pause_s: float
+) -> None:
+    """Guards against passing on a part of an answer as if it were all (MIXED)."""
+    handler = unframed(EVENT_1, reset=True, pause_s=pause_s)
+    async with run_gateway(handler) as gateway:
+        for _ in range(5):
+            try:
+                status, _, _ = await gateway.send(path)
+            except aiohttp.ClientPayloadError:
+                continue
+            assert status == 502
+
+
+async def test_an_unframed_stream_that_ends_inside_an_event_is_broken_off() -> None:
+    """Guards against a stream that looks complete before its last event (ORDER)."""
+    async with run_gateway(unframed(EVENT_1 + EVENT_2[:-4])) as gateway:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateway.send("/turn/x")
