Send all requests for a stream to one service of a split route

The choice now follows the id of the request that began it. The test fails before (the request is refused, as the other service has no split that is known there).

--- a/packages/gateway/src/damasksaddle_gateway/calls.py
+++ b/packages/gateway/src/damasksaddle_gateway/calls.py
@@ -84,10 +84,5 @@
             return self.metadata.resumed_request_id
         return self.metadata.request_id
 
-    @property
-    def stream_id(self) -> str:
-        """Identifies the stream in all requests that continue it."""
-        return self.metadata.resumed_request_id or self.metadata.request_id
-
     def time_left_s(self) -> float:
         return self.deadline_s - boottime_s()
--- a/packages/gateway/src/damasksaddle_gateway/interfaces.py
+++ b/packages/gateway/src/damasksaddle_gateway/interfaces.py
@@ -52,6 +52,11 @@
     forwarded: CIMultiDict[str]
     resumed_request_id: str = ""
 
+    @property
+    def stream_id(self) -> str:
+        """Identifies a stream in all requests that begin or continue it."""
+        return self.resumed_request_id or self.request_id
+
     def startable_program_id(self) -> str:
         """
         Returns the id of the program that this request may start, or an empty string.
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -257,7 +257,7 @@
             workspace = config.find_workspace(metadata.key)
             if workspace is None:
                 raise KeyRejected
-        service = config.services.get(route.service_for(metadata.request_id))
+        service = config.services.get(route.service_for(metadata.stream_id))
         if service is None:
             raise UpstreamUnavailable(retry_after_s=NO_UPSTREAM_RETRY_S)
         fingerprints = request_fingerprints(workspace, request.method, raw_path, body)
@@ -586,7 +586,7 @@
             route=call.route.name,
             upstream=upstream.id,
             version=upstream.software_version,
-            stream=call.stream_id,
+            stream=call.metadata.stream_id,
             after_event=call.metadata.last_event_id,
             outcome=outcome,
             error=error,
--- a/packages/gateway/src/damasksaddle_gateway/routing_config.py
+++ b/packages/gateway/src/damasksaddle_gateway/routing_config.py
@@ -79,10 +79,10 @@
     max_attempts: int
     public: bool
 
-    def service_for(self, request_id: str) -> str:
-        """Returns the service for a request, which is the same for every attempt."""
+    def service_for(self, stream_id: str) -> str:
+        """Returns the service for a request and for those that continue its stream."""
         total = sum(target.weight for target in self.targets)
-        point = xxhash.xxh32_intdigest(request_id.encode()) / 2**32 * total
+        point = xxhash.xxh32_intdigest(stream_id.encode()) / 2**32 * total
         for target in self.targets:
             point -= target.weight
             if point < 0:
--- a/packages/gateway/src/damasksaddle_gateway/stream_versions.py
+++ b/packages/gateway/src/damasksaddle_gateway/stream_versions.py
@@ -64,7 +64,7 @@
         """Remembers the version of a stream whose first event is about to be sent."""
         if not is_resumable(call.route.kind):
             return
-        service, stream = call.service.name, call.stream_id
+        service, stream = call.service.name, call.metadata.stream_id
         call.version = version = upstream.software_version
         self._remember(service, stream, version)
         if (
@@ -82,7 +82,7 @@
 
         Raises `StreamVersionUnknown`.
         """
-        service, stream = call.service.name, call.stream_id
+        service, stream = call.service.name, call.metadata.stream_id
         version = self._streams.get((service, stream))
         source = "memory"
         if version is None:
--- a/tests/gateway/test_version_joins.py
+++ b/tests/gateway/test_version_joins.py
@@ -6,7 +6,7 @@
 import pytest
 from aiohttp import web
 
-from damasksaddle_gateway.routing_config import Streaming
+from damasksaddle_gateway.routing_config import Streaming, Target
 from tests.gateway.test_request_handler import (
     CONFIG,
     SIGNED,
@@ -18,6 +18,7 @@
 
 EVENTS = 3
 STREAMS = 12
+SERVICE = CONFIG.services["svc"]
 
 
 @dataclass
@@ -94,3 +95,32 @@
             ]
             assert (status, body.count(b"id:")) == (200, EVENTS - 1)
             assert len({version for version, _ in sent}) == 1
+
+
+async def test_a_stream_taken_up_goes_on_at_the_service_that_began_it() -> None:
+    """Guards against continuing a stream at another service of a split route."""
+    upstreams = TwoVersions()
+    async with run_gateway(*upstreams.handlers()) as gateway:
+        upstreams.prepare(gateway, attempts=1)
+        streams = route("/turn/", Streaming(resumable=True, max_gap_ms=200))
+        targets = (Target("svc", 1.0), Target("other", 1.0))
+        gateway.config_watcher.config = replace(
+            CONFIG,
+            routes=(replace(streams, targets=targets),),
+            services={**CONFIG.services, "other": replace(SERVICE, name="other")},
+        )
+        for upstream in list(gateway.config_watcher.upstreams.values())[1::2]:
+            gateway.config_watcher.upstreams[upstream.id] = replace(
+                upstream, service="other"
+            )
+        for stream in range(STREAMS):
+            upstreams.breaks = 1
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await gateway.send("/turn/x", X_Request_Id=f"r{stream}")
+            again = {"Last_Event_Id": "1", "Resumes": f"r{stream}"}
+            await gateway.send("/turn/x", X_Request_Id=f"again-{stream}", **again)
+            first, second = (
+                gateway.config_watcher.upstreams[request.headers["X-Expect-Instance"]]
+                for request in gateway.received[-2:]
+            )
+            assert first.service == second.service
