Tell other VMs of streams whose shard is moved while they run

Found while the poll of splits was made slower (0.2 to 0.5 s, as each poll reads all upstreams of a large service): of 120 streams taken up during a release three were refused, because they began before their shard was moved and only the VM that began them knew.

--- a/packages/gateway/src/damasksaddle_gateway/version_splits.py
+++ b/packages/gateway/src/damasksaddle_gateway/version_splits.py
@@ -43,7 +43,7 @@
 # A shard that was just moved is moved again only if no upstream serves it.
 HOLD_S = 5.0
 FEED_WAIT_S = 5.0
-POLL_S = 0.2
+POLL_S = 0.5
 # A VM assigns streams by a split that was current within `MAX_AGE_S`, and reads it
 # again after `REFRESH_S`.
 REFRESH_S = 4.0
@@ -160,6 +160,8 @@
         self._table = table
         self._config_watcher = config_watcher
         self._coordinators = coordinators
+        # Called with the service whose split has changed.
+        self.on_moved: Callable[[str], None] = lambda service: None
         self._known: dict[str, _KnownSplit] = {}
         self._next_reads: dict[str, asyncio.Task[None]] = {}
         self._read_lock = asyncio.Lock()
@@ -214,10 +216,13 @@
         return self._table.clock.now_ms() - split.moved_ms[shard] > self._settle_ms()
 
     def _settle_ms(self) -> float:
+        return (self.max_stream_s() + MAX_AGE_S + LATE_WRITE_S) * 1000
+
+    def max_stream_s(self) -> float:
+        """Returns how long after its beginning a stream may be continued."""
         config = self._config_watcher.config
         timeouts_ms = [route.timeout_ms for route in config.routes] if config else []
-        stream_ms = STREAM_REQUESTS * max(timeouts_ms, default=0.0)
-        return stream_ms + (MAX_AGE_S + LATE_WRITE_S) * 1000
+        return STREAM_REQUESTS * max(timeouts_ms, default=0.0) / 1000
 
     async def move_shard(self, service: str, key: str, version: str) -> None:
         """
@@ -335,7 +340,10 @@
         if value is None or version < known.row.version:
             return
         known.row.version, known.row.value = version, value
-        known.split = VersionSplit.from_value(value)
+        split = VersionSplit.from_value(value)
+        if split != known.split:
+            known.split = split
+            self.on_moved(service)
 
     @Service.task
     async def _follow(self) -> None:
@@ -347,16 +355,19 @@
         while not self.should_stop:
             await self.sleep(POLL_S)
             for service in self._streaming_services():
+                split = self._get(service).split
+                if split is not None and self._is_balanced(split, service):
+                    continue
                 if not self._coordinators.is_coordinator(f"{TABLE}/{service}"):
                     continue
-                split = self._get(service).split
                 if split is None:
                     await self._create(service)
-                elif self._rebalanced(split, service) != split:
+                else:
                     await self.rebalance(service)
 
-    def _rebalanced(self, split: VersionSplit, service: str) -> VersionSplit:
-        return split.rebalanced(self._slots(service), self._table.clock.now_ms())
+    def _is_balanced(self, split: VersionSplit, service: str) -> bool:
+        now_ms = self._table.clock.now_ms()
+        return split.rebalanced(self._slots(service), now_ms) is split
 
     def _streaming_services(self) -> set[str]:
         config = self._config_watcher.config
--- a/packages/standins/src/damasksaddle_standins/loopback_fleet.py
+++ b/packages/standins/src/damasksaddle_standins/loopback_fleet.py
@@ -33,6 +33,9 @@
         if self._fleet.unreachable & {vm, self._vm}:
             await asyncio.sleep(timeout_s)
             raise PeerUnreachable(vm)
+        if vm in self._fleet.broken_connections:
+            self._fleet.broken_connections.discard(vm)
+            raise PeerUnreachable(vm)
         await asyncio.sleep(ONE_WAY_S)
         handler = self._fleet.peers[vm].handlers.unary[type(message)]
         response = await handler(message, Sender(self._vm, 0, timeout_s))
@@ -54,6 +57,8 @@
     ) -> None:
         self.vms = [f"vm-{number}" for number in range(size)]
         self.unreachable: set[str] = set()
+        # VMs to which the next message is lost.
+        self.broken_connections: set[str] = set()
         self.messages = 0
         self.peers: dict[str, LoopbackPeers] = {}
         self._add_part = add_part
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -68,6 +68,20 @@
         assert (len(fleet.joined), fleet.refused) == (0, 0)
 
 
+async def test_broken_connections_between_vms_do_not_hide_a_version() -> None:
+    """Guards against refusing a stream because one message between VMs was lost."""
+    async with VersionFleet(9) as fleet:
+        fleet.set_upstreams("v1")
+        await asyncio.sleep(1.0)
+        fleet.set_upstreams("v1", "v2")
+        await asyncio.sleep(1.0)
+        streams = await fleet.begin_many(40, 0.02)
+        for stream in streams:
+            fleet.broken_connections = set(fleet.vms)
+            await fleet.take_up(stream)
+        assert (len(fleet.joined), fleet.refused) == (0, 0)
+
+
 async def test_a_stream_costs_no_write_of_the_store() -> None:
     """Guards against store calls that grow with the number of streams."""
     async with VersionFleet(9) as fleet:
