Count a move of shards from when a VM sees it

Found by reading: the time of a move is taken before the write is sent, so a VM that is paused in between writes an old time, and the other VMs would take the shards for settled. Only a VM that starts after such a write still has to rely on the time in the row, with 5 s allowed for late writes.

--- a/packages/gateway/src/damasksaddle_gateway/version_splits.py
+++ b/packages/gateway/src/damasksaddle_gateway/version_splits.py
@@ -114,6 +114,19 @@
                 moves[shard] = lacking.pop()
         return self._with(moves, now_ms)
 
+    def seen_after(self, earlier: "VersionSplit", now_ms: float) -> "VersionSplit":
+        """
+        Counts shards that differ from an earlier split as moved now.
+
+        The VM that moved them may have been paused before its write was sent.
+        """
+        changed = {
+            shard: version
+            for shard, version in enumerate(self.versions)
+            if version != earlier.versions[shard]
+        }
+        return self._with(changed, now_ms)
+
     def moved(self, shard: int, version: str, now_ms: float) -> "VersionSplit":
         """Moves one shard to another version."""
         return self._with({shard: version}, now_ms)
@@ -337,13 +350,14 @@
 
     def _adopt(self, service: str, version: int, value: dict[str, Any] | None) -> None:
         known = self._get(service)
-        if value is None or version < known.row.version:
+        if value is None or version <= known.row.version:
             return
         known.row.version, known.row.value = version, value
         split = VersionSplit.from_value(value)
-        if split != known.split:
-            known.split = split
-            self.on_moved(service)
+        if known.split is not None:
+            split = split.seen_after(known.split, self._table.clock.now_ms())
+        known.split = split
+        self.on_moved(service)
 
     @Service.task
     async def _follow(self) -> None:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -1,15 +1,18 @@
 """Which software version continues a stream, in fleets whose VMs and upstreams end."""
 
 import asyncio
+import json
 import random
 
 import pytest
 
+from damasksaddle.platform import Put, row_key
 from damasksaddle_gateway.version_splits import (
     LATE_WRITE_S,
     MAX_AGE_S,
     SHARDS,
     STREAM_REQUESTS,
+    TABLE,
     VersionSplit,
     shard_of,
 )
@@ -115,6 +118,22 @@
         assert (len(fleet.joined), fleet.refused > 50) == (0, True)
 
 
+async def test_a_move_that_was_written_late_does_not_join_versions() -> None:
+    """Guards against the old time of a move whose VM was paused before its write."""
+    async with VersionFleet(3) as fleet:
+        fleet.set_upstreams("v1")
+        await asyncio.sleep(1.0)
+        await fleet.begin("before", "program")
+        fleet.set_upstreams("v2")
+        late = VersionSplit(("v2",) * SHARDS, (-SETTLE_S * 2000,) * SHARDS)
+        key = row_key(TABLE, "", SERVICE)
+        fleet.rows.apply([Put(key, json.dumps(late.to_value()))])
+        await asyncio.sleep(0.1)
+        for vm in fleet.vms:
+            await fleet.take_up("before", vm)
+        assert not fleet.joined
+
+
 async def test_a_vm_without_the_store_begins_no_streams_after_a_time() -> None:
     """Guards against streams of a VM that cannot know that their shard was moved."""
     async with VersionFleet(9) as fleet:
