Review: a runner's endless extra answers fill a process's memory

Answers that follow a complete one on an idle connection are queued without a bound, until the process exceeds MemoryMb.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -18,8 +18,10 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qsl
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 STORE_ANSWER_S = 0.004
@@ -91,17 +93,21 @@
         self.history: list[tuple[int, tuple[str, str, str], bytes | None]] = []
         self.version = 0
         self.is_down = False
-        self.address = ""
+        # The machine that last wrote under a condition.
+        self.last_writer = ""
         self._changed = asyncio.Event()
         self._part_free_s: dict[tuple[str, str], float] = {}
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> None:
-        """Listens on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
+    async def listen(self, machine: str) -> str:
+        """Listens for a machine on a free port and returns the address."""
+        server = await asyncio.start_server(
+            partial(self._serve, machine), "127.0.0.1", 0
+        )
+        self._servers.append(server)
+        host, port = server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
 
     def set_down(self, is_down: bool) -> None:
         """Stops or resumes service; a store that is down resets all connections."""
@@ -126,12 +132,12 @@
         self._changed = asyncio.Event()
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, machine: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
         try:
             while not self.is_down and (request := await read_request(reader)):
-                status, body = await self._handle(request)
+                status, body = await self._handle(request, machine)
                 if self.is_down:
                     break
                 writer.write(
@@ -148,7 +154,9 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
-    async def _handle(self, request: Request) -> tuple[int, dict[str, Any]]:
+    async def _handle(
+        self, request: Request, machine: str
+    ) -> tuple[int, dict[str, Any]]:
         path, _, query = request.target.partition("?")
         await asyncio.sleep(STORE_ANSWER_S)
         match path:
@@ -157,7 +165,7 @@
             case "/rows-feed":
                 return 200, await self._feed(_parse_query(query))
             case "/rows-tx":
-                return await self._transact(json.loads(request.body))
+                return await self._transact(json.loads(request.body), machine)
         return 404, {}
 
     def _page(self, rows: list[dict[str, Any]]) -> dict[str, Any]:
@@ -198,7 +206,9 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left_s)
 
-    async def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    async def _transact(
+        self, body: dict[str, Any], machine: str
+    ) -> tuple[int, dict[str, Any]]:
         entries = [*body["ExpectedRev"], *body["SetKeys"], *body["Remove"]]
         if any(entry["Table"] in ("op", "servers") for entry in entries):
             return 403, {}
@@ -216,6 +226,8 @@
         if current != expected:
             found = [name for name in expected if name in self.rows]
             return 412, {"Rows": [_row(name, *self.rows[name]) for name in found]}
+        if expected:
+            self.last_writer = machine
         self.version += 1
         for entry in body["SetKeys"]:
             self._apply(_name(entry), base64.b64decode(entry["Value"]))
@@ -226,13 +238,11 @@
     async def stop(self) -> None:
         """Closes all connections."""
         self.set_down(True)
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
 
 
 def _parse_query(query: str) -> dict[str, str]:
-    from urllib.parse import parse_qsl
-
     return dict(parse_qsl(query, keep_blank_values=True))
 
 
@@ -387,12 +397,14 @@
 
 @dataclass(slots=True)
 class Answer:
-    """What a client got; `status` is 0 if the connection ended without an answer."""
+    """What a client got; `status` is 0 if there was no answer."""
 
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     complete: bool = False
+    # Number of requests that were sent on the connection so far, if it is a kept one.
+    connection_uses: int = 1
 
 
 async def _read_answer(reader: asyncio.StreamReader, answer: Answer) -> None:
@@ -423,15 +435,11 @@
 ) -> Answer:
     """Sends one request on a new connection and returns the answer."""
     answer = Answer()
-    lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    if body or method == "POST":
-        lines.append(f"Content-Length: {len(body)}")
     writer = None
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, port)
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            writer.write(make_request(method, target, headers, body))
             await _read_answer(reader, answer)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         pass
@@ -441,6 +449,61 @@
     return answer
 
 
+class KeptConnection:
+    """A client's connection that is used for many requests."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._uses = 0
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+    ) -> Answer:
+        """Sends one request; a connection that ended is replaced by the next call."""
+        answer = Answer()
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self._streams is None:
+                    self._uses = 0
+                    self._streams = await asyncio.open_connection(
+                        self._host, self._port
+                    )
+                self._uses += 1
+                answer.connection_uses = self._uses
+                reader, writer = self._streams
+                writer.write(make_request(method, target, headers, body))
+                await _read_answer(reader, answer)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            self.close()
+        if answer.headers.get("connection", "").lower() == "close":
+            self.close()
+        return answer
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+            self._streams = None
+
+
+def make_request(
+    method: str, target: str, headers: dict[str, str], body: bytes
+) -> bytes:
+    """Returns the bytes of a request."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
 def new_request_id() -> str:
     """Returns a new request id."""
     return f"{random.getrandbits(64):016x}"
@@ -516,7 +579,9 @@
 
     async def start(self) -> None:
         """Starts the process with the command of the deploy file."""
-        env = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
+        env = {
+            name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
+        }
         env["DAMASKSADDLE_NODE_FILE"] = str(self.settings_path)
         env["PYTHONPATH"] = str(REPOSITORY / "target" / "deps")
         with self.log_path.open("ab") as log:
@@ -541,6 +606,12 @@
         if self.process is not None:
             await self.process.wait()
 
+    async def restart(self, after_s: float) -> None:
+        """Kills the process and starts it again after a delay."""
+        await self.kill()
+        await asyncio.sleep(after_s)
+        await self.start()
+
     async def is_ready(self) -> bool:
         """Asks the readiness check."""
         answer = await call(self.host, self.ports[1], "GET", "/readyz", {}, b"", 1.0)
@@ -550,8 +621,9 @@
         """Returns the resident memory of the process, or 0 if it has ended."""
         if self.process is None or self.process.returncode is not None:
             return 0.0
+        status = Path(f"/proc/{self.process.pid}/status")
         with suppress(OSError):
-            for line in Path(f"/proc/{self.process.pid}/status").open():
+            for line in status.read_text().splitlines():
                 if line.startswith("VmRSS:"):
                     return int(line.split()[1]) / 1024
         return 0.0
@@ -591,6 +663,21 @@
     "DiskMb": 0,
 }
 
+ENGINE = {
+    "Slots": 16,
+    "KvCapacity": 116159,
+    "KvTokenBytes": 163840,
+    "LinkMbps": 700000.0,
+    "Moves": True,
+    "Backups": True,
+    "ChunkTokens": 12,
+    "most": 16,
+    "PinMs": 4000.0,
+    "HoldMs": 2000.0,
+    "handle_s": 5.0,
+    "Models": [{"Name": "m"}],
+}
+
 
 @dataclass(slots=True)
 class System:
@@ -628,13 +715,15 @@
                 self.folder / f"{name}.yaml",
                 self.folder / f"{name}.log",
             )
-            machine.write_settings(self.store.address, MACHINE_LIMITS)
+            machine.write_settings(await self.store.listen(name), MACHINE_LIMITS)
             self.machines.append(machine)
         for machine in self.machines:
             await machine.start()
         await self.wait_ready(self.machines)
 
-    async def wait_ready(self, machines: list[Machine], timeout_s: float = 25.0) -> None:
+    async def wait_ready(
+        self, machines: list[Machine], timeout_s: float = 25.0
+    ) -> None:
         """Waits until machines are ready; raises `TimeoutError`."""
         async with asyncio.timeout(timeout_s):
             for machine in machines:
@@ -682,6 +771,7 @@
         "Routes": routes,
         "Services": [
             {"Name": name, "HealthPath": "/healthz", "MaxConns": 110, "Protocol": "h1"}
+            | ({"Engine": ENGINE} if name == "agent-llm" else {})
             for name in services
         ],
         "Limits": {
@@ -704,7 +794,6 @@
         system = System(record, Path(temporary), Store())
         try:
             async with asyncio.timeout(RUN_LIMIT_S):
-                await system.store.start()
                 is_broken = await scenario(system, with_trouble)
         finally:
             await system.stop()
