--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -701,15 +701,15 @@
         self.store.put("op", "config", json.dumps(config).encode())
         self.record.write(f"configuration {config['Version']} acknowledged")
 
-    async def start_machines(self, number: int) -> None:
-        """Starts machines in three zones and waits until all are ready."""
+    async def start_machines(self, number: int, zones: str = "abc") -> None:
+        """Starts machines in zones by turns and waits until all are ready."""
         network = f"127.{1 + os.getpid() % 250}.{random.randrange(250)}"
         ports = free_ports(5)
         for place in range(1, number + 1):
             name = f"edge-{place}"
             machine = Machine(
                 name,
-                f"zone-{'abc'[(place - 1) % 3]}",
+                f"zone-{zones[(place - 1) % len(zones)]}",
                 f"{network}.{place}",
                 ports,
                 self.folder / f"{name}.yaml",
