--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,16 @@
-"""A program's budget over two outages of the store, with a process killed in each."""
+"""Turns that clients send to a machine which is being stopped."""
 
 import asyncio
+import json
 import random
+import signal
+from dataclasses import dataclass
 from pathlib import Path
 
 from standins import (
-    Answer,
+    BOUNDS,
     Exchange,
+    Machine,
     System,
     call,
     main,
@@ -16,171 +20,169 @@
 )
 
 KEY = "3fexd9dnn2ctnfzs989a"
-MACHINES = 3
-BUDGET_TOKENS = 4608
-TURN_TOKENS = 288
-EVENT_TOKENS = 12
-EVENT_S = 0.04
-# A program calls a tool between two turns.
-TOOL_S = 0.3
-DEADLINE_S = 4.0
-# Client attempts of a turn, and how often a failed turn is sent again from its start.
-ATTEMPTS = 2
-RESENDS = 2
-# A stopped program may return within RetentionS (60).
-RETURN_AFTER_S = 3.0
-PROGRAM_S = 70.0
-OUTAGES_AT_S = (9.6, 19.8)
-OUTAGE_S = 3.0
-# The process is killed this long before the store is back.
-KILL_BEFORE_END_S = 0.3
-RESTART_S = 1.0
-
-
-async def run_turn(exchange: Exchange) -> None:
-    """Streams a turn of the maximum size, from the event after `Last-Event-Id`."""
-    lines = [f"{name}: {value}" for name, value in exchange.signed().items()]
-    head = "\r\n".join(
-        ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", *lines]
-        + ["Transfer-Encoding: chunked", "", ""]
-    )
-    writer = exchange.writer
-    writer.write(head.encode())
-    first = int(exchange.request.headers.get("last-event-id", 0)) + 1
-    for number in range(first, TURN_TOKENS // EVENT_TOKENS + 1):
-        await asyncio.sleep(EVENT_S)
-        event = f"id: {number}\ndata: tokens\n\n".encode()
-        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        await writer.drain()
-    writer.write(b"0\r\n\r\n")
-
-
-class Program:
-    """A program that loops without end until it is stopped."""
+MACHINES = 4
+# "Clients keep a response for that long, some of them three times as long." Each client
+# stands for an application server that runs many programs.
+CLIENTS = 2
+TTL_FACTOR = 3
+TURN_EVERY_S = 0.08
+# A turn of 24 events with pauses below `TargetGapMs` (200 ms).
+EVENTS = 24
+EVENT_S = 0.158
+DEADLINE_MS = 4000
+STOP_AFTER_S = 10.0
+# The machine is stopped this long after one of the clients has asked for addresses.
+ASKED_BEFORE_S = 0.1
+TRAFFIC_S = 22.0
+
+
+@dataclass
+class Turn:
+    """A turn and its outcome."""
+
+    id: str
+    machine: str
+    sent_s: float
+    ended_s: float = 0.0
+    ran: bool = False
+    status: int = 0
+    complete: bool = False
+
+
+class Case:
+    """What happened in a run."""
 
     def __init__(self, system: System) -> None:
         self.system = system
-        self.id = f"{random.getrandbits(24):06x}"
-        self.session = f"{random.getrandbits(24):06x}"
-        self.handed_tokens = 0
-        self.started_s = system.record.now_s()
-
-    async def run(self) -> None:
-        """Runs turns, and returns once after it was stopped."""
-        for _ in range(2):
-            while await self._turn() != "stopped":
-                await asyncio.sleep(TOOL_S)
-            await asyncio.sleep(RETURN_AFTER_S)
-
-    async def _turn(self) -> str:
-        for _ in range(1 + RESENDS):
-            deadline_s = self.system.record.now_s() + DEADLINE_S
-            last_event, first_id, avoided = 0, "", set()
-            for _ in range(ATTEMPTS):
-                left_s = deadline_s - self.system.record.now_s()
-                if left_s <= 0:
-                    break
-                answer, request_id = await self._attempt(
-                    left_s, last_event, first_id, avoided
-                )
-                events = answer.body.count(b"\n\n")
-                self.handed_tokens += events * EVENT_TOKENS
-                if answer.complete and answer.status == 200:
-                    return "done"
-                if answer.status == 402:
-                    return "stopped"
-                if events:
-                    first_id = first_id or request_id
-                    last_event += events
-                retry_s = float(answer.headers.get("retry-after", 0.0))
-                await asyncio.sleep(min(retry_s, left_s / 3))
-            await asyncio.sleep(random.uniform(0.1, 0.4))
-        self.system.record.write("a turn failed three times")
-        return "stopped"
-
-    async def _attempt(
-        self, left_s: float, last_event: int, first_id: str, avoided: set[str]
-    ) -> tuple[Answer, str]:
+        self.turns: dict[str, Turn] = {}
+        # Set when a client got addresses.
+        self.asked = asyncio.Event()
+
+    async def run(self, exchange: Exchange) -> None:
+        """Streams a turn."""
+        if exchange.id in self.turns:
+            self.turns[exchange.id].ran = True
+        lines = [f"{name}: {value}" for name, value in exchange.signed().items()]
+        head = "\r\n".join(
+            ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", *lines]
+            + ["Transfer-Encoding: chunked", "", ""]
+        )
+        writer = exchange.writer
+        writer.write(head.encode())
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            event = f"id: {number}\ndata: tokens\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+    async def client(self, end_s: float) -> None:
+        """Resolves, and sends turns to the addresses while they may be used."""
         record = self.system.record
-        machines = [
-            machine for machine in self.system.machines if machine.name not in avoided
-        ]
-        machine = random.choice(machines or self.system.machines)
-        request_id = new_request_id()
+        expires_s, addresses = 0.0, []
+        tasks = []
+        while record.now_s() < end_s:
+            if record.now_s() > expires_s and (body := await self.resolve()):
+                addresses = body["Addresses"]
+                ttl_s = min(body["TtlS"], BOUNDS["ttl_max_s"])
+                expires_s = record.now_s() + ttl_s * TTL_FACTOR
+                self.asked.set()
+                self.asked = asyncio.Event()
+            if addresses:
+                tasks.append(asyncio.create_task(self.send(random.choice(addresses))))
+            await asyncio.sleep(TURN_EVERY_S)
+        await asyncio.gather(*tasks)
+
+    async def resolve(self) -> dict | None:
+        """Asks up to three machines where to connect."""
+        machines = self.system.machines[:3]
+        for place in range(len(machines)):
+            # The clients are in the zone of the first machine.
+            near = machines[place]
+            answer = await call(
+                near.host,
+                near.ports[2],
+                "GET",
+                f"/resolve?Name=desk.example&Region=region&Zone={near.zone}",
+                {},
+                timeout_s=1.0,
+            )
+            if answer.status == 200:
+                return json.loads(answer.body)
+        return None
+
+    async def send(self, address: str) -> None:
+        """Sends one turn."""
+        record = self.system.record
+        host, port = address.split(":")
+        (machine,) = [m for m in self.system.machines if m.host == host]
+        turn = Turn(new_request_id(), machine.name, record.now_s())
+        self.turns[turn.id] = turn
         headers = {
-            "X-Request-Id": request_id,
-            "X-Program-Id": self.id,
-            "X-Session-Id": self.session,
-            "X-Program-Deadline-Ms": "9000",
-            "X-Token-Budget": str(BUDGET_TOKENS),
-            "X-Token-Count": f"1100,{TURN_TOKENS}",
+            "X-Request-Id": turn.id,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+            "X-Token-Count": "1100,288",
             "X-Prompt-Prefix": "5c1e07a2:512,91bd3f06:588",
-            "X-Deadline-Ms": str(int(left_s * 1000)),
             "Authorization": f"Token {KEY}",
         }
-        if last_event:
-            headers |= {"Last-Event-Id": str(last_event), "Resumes": first_id}
-        record.write(f"sent turn {request_id} to {machine.name} after {last_event}")
+        record.write(f"sent {turn.id} to {machine.name}")
         answer = await call(
-            machine.host, machine.port, "POST", "/lohu930/4b", headers, b"x" * 4000
-        )
-        if answer.status != 200:
-            avoided.add(machine.name)
-        record.write(
-            f"answered {request_id} {answer.status} complete={answer.complete} "
-            f"events={answer.body.count(b'data:')}"
+            host, int(port), "POST", "/lohu930/2f", headers, b"x" * 4300
         )
-        return answer, request_id
-
-
-async def interrupt(system: System, start_s: float) -> None:
-    """Takes the store down and kills the process that last wrote to it."""
-    record = system.record
-    await asyncio.sleep(max(0.0, start_s - record.now_s()))
-    store = system.store
-    store.set_down(True)
-    record.write("the store is down")
-    await asyncio.sleep(OUTAGE_S - KILL_BEFORE_END_S)
-    (victim,) = [m for m in system.machines if m.name == store.last_writer]
-    restart = asyncio.create_task(victim.restart(RESTART_S))
-    record.write(f"{victim.name} is killed")
-    await asyncio.sleep(KILL_BEFORE_END_S)
-    store.set_down(False)
-    record.write("the store is back")
-    await restart
+        turn.ended_s, turn.status = record.now_s(), answer.status
+        turn.complete = answer.complete
+        record.write(f"answered {turn.id} {turn.status} complete={turn.complete}")
+
+    def lost(self, stopped: Machine, signal_s: float) -> list[Turn]:
+        """Returns the turns that the rule counts as lost."""
+        grace_s = BOUNDS["GraceS"]
+        return [
+            turn
+            for turn in self.turns.values()
+            if turn.machine == stopped.name
+            and turn.ran
+            and not turn.complete
+            and turn.ended_s < turn.sent_s + DEADLINE_MS / 1000 - 0.05
+            and signal_s + 3 < turn.sent_s < signal_s + grace_s + 1
+        ]
 
 
 async def scenario(system: System, with_trouble: bool) -> bool:
-    """Returns whether BUDGET was broken."""
-    for number in range(3):
+    """Returns whether LOST was broken."""
+    record = system.record
+    case = Case(system)
+    for number in range(9):
         runner = await system.add_runner(f"i-llm-{number}", "agent-llm", slots=16)
-        runner.behave = run_turn
+        runner.behave = case.run
     route = make_route(
-        "digest-turn",
-        "/lohu930/",
-        "streaming",
-        "agent-llm",
-        TimeoutMs=4000,
-        Resumable=True,
-        KeepsHistory=False,
-        Sticky=True,
+        "digest-turn", "/lohu930/", "streaming", "agent-llm", TimeoutMs=DEADLINE_MS
     )
-    tenant = {"Name": "hule930", "ApiKeys": [KEY]}
+    tenant = {"Name": "hule930", "ApiKeys": [KEY], "RatePerS": 140, "Burst": 140}
     system.write_config(make_config(7, [route], [tenant]))
-    await system.start_machines(MACHINES)
+    await system.start_machines(MACHINES, zones="aabb")
     await asyncio.sleep(4.0)
-    program = Program(system)
-    tasks = [asyncio.create_task(program.run())]
+    end_s = record.now_s() + TRAFFIC_S
+    clients = [asyncio.create_task(case.client(end_s)) for _ in range(CLIENTS)]
+    await asyncio.sleep(STOP_AFTER_S)
+    await case.asked.wait()
+    await asyncio.sleep(ASKED_BEFORE_S)
+    stopped = system.machines[0]
+    signal_s = record.now_s()
     if with_trouble:
-        tasks += [
-            asyncio.create_task(interrupt(system, program.started_s + at_s))
-            for at_s in OUTAGES_AT_S
-        ]
-    async with asyncio.timeout(PROGRAM_S):
-        await asyncio.gather(*tasks)
-    allowed = BUDGET_TOKENS + TURN_TOKENS
-    system.record.write(f"{program.handed_tokens} tokens handed out, {allowed} allowed")
-    return program.handed_tokens > allowed
+        stopped.signal(signal.SIGTERM)
+        record.write(f"{stopped.name} gets SIGTERM")
+        assert stopped.process is not None
+        await stopped.process.wait()
+        record.write(f"{stopped.name} has ended")
+    await asyncio.gather(*clients)
+    lost = case.lost(stopped, signal_s)
+    for turn in lost:
+        record.write(
+            f"lost {turn.id}: sent {turn.sent_s - signal_s:.2f} s after SIGTERM, "
+            f"cut {turn.ended_s - signal_s:.2f} s after it, status {turn.status}"
+        )
+    record.write(f"{len(lost)} of {len(case.turns)} turns lost around the stop")
+    return bool(lost)
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,15 @@
-"""A request that crashes runners, while all processes are killed at once, twice."""
+"""A tenant's quota, when the store goes down soon after a machine has woken."""
 
 import asyncio
+import json
+import random
+import signal
 from pathlib import Path
 
 from standins import (
+    BOUNDS,
     Exchange,
+    Machine,
     System,
     answer_plain,
     call,
@@ -15,20 +20,18 @@
 )
 
 KEY = "3fexd9dnn2ctnfzs989a"
+# Machines 1 and 3 are in zone-a, 2 and 4 in zone-b.
 MACHINES = 4
-RUNNERS = 6
-CONTACT_S = 3.0
-# "The runner is back after some seconds."
-RUNNER_RESTART_S = 2.5
-# The request comes again at this pace, at one machine after the other.
-DEADLY_PACE_S = 6.0
-PACE_S = 0.5
-KILLS_AT_S = (12.5, 30.5)
-DOWN_S = 0.6
-TRAFFIC_S = 54.0
-MAX_RETRIES = 3
-DEADLY_PATH = "/lohu930/7c"
-DEADLY_BODY = b"deadly" * 100
+RATE_PER_S = 84
+BURST = 84
+# "One tenant sends many times its usual": its rate is 1.6 times its usual.
+HOT_PER_S = 260
+HOT_S = 6.0
+FROZEN_S = 4.0
+# The store goes down this long after the machine has woken.
+WOKEN_S = 0.8
+DOWN_S = 4.5
+WORK_S = 0.01
 
 
 class Case:
@@ -36,96 +39,122 @@
 
     def __init__(self, system: System) -> None:
         self.system = system
-        self.crashes = 0
-        self.third_crash_s: float | None = None
-        # When all machines are in touch after their last start.
-        self.in_touch_s = 0.0
         self.sent_s: dict[str, float] = {}
-        self.late_retries: list[str] = []
-        self.tasks: list[asyncio.Task[None]] = []
+        # When a request was sent and when it arrived at a runner that ran it.
+        self.ran: list[tuple[float, float]] = []
+        self.addresses: dict[str, tuple[float, list[str]]] = {}
+        self.zone = "zone-a"
 
     async def run(self, exchange: Exchange) -> None:
-        """Runs a request; a deadly one ends the runner, which is back later."""
-        if exchange.request.target != DEADLY_PATH:
-            await answer_plain(exchange)
-            return
+        """Runs a request."""
+        if (sent_s := self.sent_s.get(exchange.id)) is not None:
+            self.ran.append((sent_s, self.system.record.now_s()))
+        await answer_plain(exchange, WORK_S)
+
+    async def resolve(self, near: Machine, zone: str) -> list[str]:
+        """Asks a machine where to connect, and keeps its answer for its time."""
         record = self.system.record
-        self.crashes += 1
-        runner = exchange.runner
-        now_s = record.now_s()
-        record.write(f"{runner.id} crashes under {exchange.id} (crash {self.crashes})")
-        if self.crashes == 3:
-            self.third_crash_s = now_s
-        elif self.third_crash_s is not None:
-            sent_s = self.sent_s[exchange.id]
-            is_late = now_s > self.third_crash_s + CONTACT_S
-            if is_late and sent_s > self.in_touch_s:
-                self.late_retries.append(exchange.id)
-                record.write(f"late retry {len(self.late_retries)}")
-        runner.crash()
-        loop = asyncio.get_running_loop()
-        loop.call_later(
-            RUNNER_RESTART_S,
-            lambda: self.tasks.append(asyncio.create_task(runner.restart())),
+        expires_s, addresses = self.addresses.get(near.name, (0.0, []))
+        if record.now_s() < expires_s:
+            return addresses
+        self.addresses[near.name] = (record.now_s() + 1.0, addresses)
+        answer = await call(
+            near.host,
+            near.ports[2],
+            "GET",
+            f"/resolve?Name=desk.example&Region=region&Zone={zone}",
+            {},
+            timeout_s=1.0,
         )
+        if answer.status == 200:
+            body = json.loads(answer.body)
+            expires_s = record.now_s() + body["TtlS"]
+            self.addresses[near.name] = (expires_s, body["Addresses"])
+        return self.addresses[near.name][1]
 
-    async def send(self, number: int, target: str, body: bytes) -> None:
-        """Sends a request to one of the machines."""
-        machine = self.system.machines[number % MACHINES]
+    async def send(self, near: Machine, zone: str) -> None:
+        """Sends a request to one of the addresses that a machine gives."""
         record = self.system.record
+        addresses = await self.resolve(near, zone)
+        if not addresses:
+            return
+        host, port = random.choice(addresses).split(":")
         request_id = new_request_id()
         self.sent_s[request_id] = record.now_s()
         headers = {
             "X-Request-Id": request_id,
-            "X-Deadline-Ms": "2000",
+            "X-Deadline-Ms": "1200",
             "Authorization": f"Token {KEY}",
         }
-        record.write(f"sent {request_id} {target} to {machine.name}")
-        answer = await call(machine.host, machine.port, "POST", target, headers, body)
+        record.write(f"sent {request_id} to {host}")
+        answer = await call(host, int(port), "GET", "/pule252/2f", headers)
         record.write(f"answered {request_id} {answer.status}")
 
-    async def kill_all(self) -> None:
-        """Kills all processes at once and starts them again."""
-        machines = self.system.machines
-        self.system.record.write("all processes are killed")
-        await asyncio.gather(*(machine.restart(DOWN_S) for machine in machines))
-        await self.system.wait_ready(machines)
-        self.in_touch_s = self.system.record.now_s() + CONTACT_S
+    def most_in_window(self) -> int:
+        """Returns the most requests both sent and run in one window of the rule."""
+        window_s = BOUNDS["QuotaWindowS"]
+        return max(
+            sum(
+                start_s <= sent_s and arrived_s <= start_s + window_s
+                for sent_s, arrived_s in self.ran
+            )
+            for start_s, _ in self.ran
+        )
 
 
 async def scenario(system: System, with_trouble: bool) -> bool:
-    """Returns whether BUDGET was broken."""
+    """Returns whether QUOTA was broken."""
+    record = system.record
     case = Case(system)
-    for number in range(RUNNERS):
-        runner = await system.add_runner(f"i-app-{number}", "filing-app")
+    for number in range(4):
+        runner = await system.add_runner(f"i-app-{number}", "filing-app", slots=12)
         runner.behave = case.run
-    route = make_route("report-file", "/lohu930/", "non_idempotent", "filing-app")
-    tenant = {"Name": "hule930", "ApiKeys": [KEY], "RatePerS": 140, "Burst": 140}
+    route = make_route("alert", "/pule252/", "idempotent", "filing-app", TimeoutMs=1200)
+    tenant = {
+        "Name": "hule930",
+        "ApiKeys": [KEY],
+        "RatePerS": RATE_PER_S,
+        "Burst": BURST,
+    }
     system.write_config(make_config(7, [route], [tenant]))
-    await system.start_machines(MACHINES)
-    await asyncio.sleep(4.0)
-    case.in_touch_s = started_s = system.record.now_s()
-    kills = list(KILLS_AT_S) if with_trouble else []
-    for number in range(int(TRAFFIC_S / PACE_S)):
-        next_s = started_s + number * PACE_S
-        await asyncio.sleep(max(0.0, next_s - system.record.now_s()))
-        if kills and system.record.now_s() - started_s >= kills[0]:
-            kills.pop(0)
-            case.tasks.append(asyncio.create_task(case.kill_all()))
-        if number % (DEADLY_PACE_S / PACE_S) == 0:
-            machine = int(number * PACE_S / DEADLY_PACE_S)
-            case.tasks.append(
-                asyncio.create_task(case.send(machine, DEADLY_PATH, DEADLY_BODY))
-            )
-        case.tasks.append(
-            asyncio.create_task(case.send(number, f"/lohu930/{number}", b"x" * 600))
+    await system.start_machines(MACHINES, zones="ab")
+    await asyncio.sleep(2.0)
+    for _ in range(20):
+        await case.send(system.machines[0], "zone-a")
+        await asyncio.sleep(0.1)
+    (leader,) = [m for m in system.machines if m.name == system.store.last_writer]
+    record.write(f"{leader.name} was the last to write to the store")
+    near = [leader] + [
+        m for m in system.machines if m.zone == leader.zone and m is not leader
+    ]
+    if with_trouble:
+        leader.signal(signal.SIGSTOP)
+        record.write(f"{leader.name} is frozen")
+    await asyncio.sleep(FROZEN_S)
+    leader.signal(signal.SIGCONT)
+    record.write(f"{leader.name} runs on")
+    started_s = record.now_s()
+    tasks = []
+    is_down = False
+    case.addresses.clear()
+    for number in range(int(HOT_S * HOT_PER_S)):
+        next_s = started_s + number / HOT_PER_S
+        await asyncio.sleep(max(0.0, next_s - record.now_s()))
+        if with_trouble and not is_down and next_s > started_s + WOKEN_S:
+            is_down = True
+            system.store.set_down(True)
+            record.write("the store is down")
+            loop = asyncio.get_running_loop()
+            loop.call_later(DOWN_S, system.store.set_down, False)
+        tasks.append(
+            asyncio.create_task(case.send(near[number % len(near)], leader.zone))
         )
-    await asyncio.gather(*case.tasks)
-    system.record.write(
-        f"{case.crashes} crashes; {len(case.late_retries)} retries in touch later than "
-        f"ContactMs after the third crash, {MAX_RETRIES} allowed"
-    )
-    return len(case.late_retries) > MAX_RETRIES
+    await asyncio.gather(*tasks)
+    most = case.most_in_window()
+    window = BOUNDS["QuotaWindowS"] * RATE_PER_S + BURST
+    allowed = window * (1 + BOUNDS["QuotaOverrun"]) + BOUNDS["QuotaSlack"]
+    record.write(f"{most} requests ran in one window, {allowed:.0f} allowed")
+    return most > allowed
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,17 +1,13 @@
-"""A tenant's quota, when the store goes down soon after a machine has woken."""
+"""A program's budget over two outages of the store, with a process killed in each."""
 
 import asyncio
-import json
 import random
-import signal
 from pathlib import Path
 
 from standins import (
-    BOUNDS,
+    Answer,
     Exchange,
-    Machine,
     System,
-    answer_plain,
     call,
     main,
     make_config,
@@ -20,141 +16,171 @@
 )
 
 KEY = "3fexd9dnn2ctnfzs989a"
-# Machines 1 and 3 are in zone-a, 2 and 4 in zone-b.
-MACHINES = 4
-RATE_PER_S = 84
-BURST = 84
-# "One tenant sends many times its usual": its rate is 1.6 times its usual.
-HOT_PER_S = 260
-HOT_S = 6.0
-FROZEN_S = 4.0
-# The store goes down this long after the machine has woken.
-WOKEN_S = 0.8
-DOWN_S = 4.5
-WORK_S = 0.01
-
-
-class Case:
-    """What happened in a run."""
+MACHINES = 3
+BUDGET_TOKENS = 4608
+TURN_TOKENS = 288
+EVENT_TOKENS = 12
+EVENT_S = 0.04
+# A program calls a tool between two turns.
+TOOL_S = 0.3
+DEADLINE_S = 4.0
+# Client attempts of a turn, and how often a failed turn is sent again from its start.
+ATTEMPTS = 2
+RESENDS = 2
+# A stopped program may return within RetentionS (60).
+RETURN_AFTER_S = 3.0
+PROGRAM_S = 70.0
+OUTAGES_AT_S = (9.6, 19.8)
+OUTAGE_S = 3.0
+# The process is killed this long before the store is back.
+KILL_BEFORE_END_S = 0.3
+RESTART_S = 1.0
+
+
+async def run_turn(exchange: Exchange) -> None:
+    """Streams a turn of the maximum size, from the event after `Last-Event-Id`."""
+    lines = [f"{name}: {value}" for name, value in exchange.signed().items()]
+    head = "\r\n".join(
+        ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", *lines]
+        + ["Transfer-Encoding: chunked", "", ""]
+    )
+    writer = exchange.writer
+    writer.write(head.encode())
+    first = int(exchange.request.headers.get("last-event-id", 0)) + 1
+    for number in range(first, TURN_TOKENS // EVENT_TOKENS + 1):
+        await asyncio.sleep(EVENT_S)
+        event = f"id: {number}\ndata: tokens\n\n".encode()
+        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+
+
+class Program:
+    """A program that loops without end until it is stopped."""
 
     def __init__(self, system: System) -> None:
         self.system = system
-        self.sent_s: dict[str, float] = {}
-        # When a request was sent and when it arrived at a runner that ran it.
-        self.ran: list[tuple[float, float]] = []
-        self.addresses: dict[str, tuple[float, list[str]]] = {}
-        self.zone = "zone-a"
-
-    async def run(self, exchange: Exchange) -> None:
-        """Runs a request."""
-        if (sent_s := self.sent_s.get(exchange.id)) is not None:
-            self.ran.append((sent_s, self.system.record.now_s()))
-        await answer_plain(exchange, WORK_S)
-
-    async def resolve(self, near: Machine, zone: str) -> list[str]:
-        """Asks a machine where to connect, and keeps its answer for its time."""
-        record = self.system.record
-        expires_s, addresses = self.addresses.get(near.name, (0.0, []))
-        if record.now_s() < expires_s:
-            return addresses
-        self.addresses[near.name] = (record.now_s() + 1.0, addresses)
-        answer = await call(
-            near.host,
-            near.ports[2],
-            "GET",
-            f"/resolve?Name=desk.example&Region=region&Zone={zone}",
-            {},
-            timeout_s=1.0,
-        )
-        if answer.status == 200:
-            body = json.loads(answer.body)
-            expires_s = record.now_s() + body["TtlS"]
-            self.addresses[near.name] = (expires_s, body["Addresses"])
-        return self.addresses[near.name][1]
-
-    async def send(self, near: Machine, zone: str) -> None:
-        """Sends a request to one of the addresses that a machine gives."""
+        self.id = f"{random.getrandbits(24):06x}"
+        self.session = f"{random.getrandbits(24):06x}"
+        self.handed_tokens = 0
+        self.started_s = system.record.now_s()
+
+    async def run(self) -> None:
+        """Runs turns, and returns once after it was stopped."""
+        for _ in range(2):
+            while await self._turn() != "stopped":
+                await asyncio.sleep(TOOL_S)
+            await asyncio.sleep(RETURN_AFTER_S)
+
+    async def _turn(self) -> str:
+        for _ in range(1 + RESENDS):
+            deadline_s = self.system.record.now_s() + DEADLINE_S
+            last_event, first_id, avoided = 0, "", set()
+            for _ in range(ATTEMPTS):
+                left_s = deadline_s - self.system.record.now_s()
+                if left_s <= 0:
+                    break
+                answer, request_id = await self._attempt(
+                    left_s, last_event, first_id, avoided
+                )
+                events = answer.body.count(b"\n\n")
+                self.handed_tokens += events * EVENT_TOKENS
+                if answer.complete and answer.status == 200:
+                    return "done"
+                if answer.status == 402:
+                    return "stopped"
+                if events:
+                    first_id = first_id or request_id
+                    last_event += events
+                retry_s = float(answer.headers.get("retry-after", 0.0))
+                await asyncio.sleep(min(retry_s, left_s / 3))
+            await asyncio.sleep(random.uniform(0.1, 0.4))
+        self.system.record.write("a turn failed three times")
+        return "stopped"
+
+    async def _attempt(
+        self, left_s: float, last_event: int, first_id: str, avoided: set[str]
+    ) -> tuple[Answer, str]:
         record = self.system.record
-        addresses = await self.resolve(near, zone)
-        if not addresses:
-            return
-        host, port = random.choice(addresses).split(":")
+        machines = [
+            machine for machine in self.system.machines if machine.name not in avoided
+        ]
+        machine = random.choice(machines or self.system.machines)
         request_id = new_request_id()
-        self.sent_s[request_id] = record.now_s()
         headers = {
             "X-Request-Id": request_id,
-            "X-Deadline-Ms": "1200",
+            "X-Program-Id": self.id,
+            "X-Session-Id": self.session,
+            "X-Program-Deadline-Ms": "9000",
+            "X-Token-Budget": str(BUDGET_TOKENS),
+            "X-Token-Count": f"1100,{TURN_TOKENS}",
+            "X-Prompt-Prefix": "5c1e07a2:512,91bd3f06:588",
+            "X-Deadline-Ms": str(int(left_s * 1000)),
             "Authorization": f"Token {KEY}",
         }
-        record.write(f"sent {request_id} to {host}")
-        answer = await call(host, int(port), "GET", "/pule252/2f", headers)
-        record.write(f"answered {request_id} {answer.status}")
-
-    def most_in_window(self) -> int:
-        """Returns the most requests both sent and run in one window of the rule."""
-        window_s = BOUNDS["QuotaWindowS"]
-        return max(
-            sum(
-                start_s <= sent_s and arrived_s <= start_s + window_s
-                for sent_s, arrived_s in self.ran
-            )
-            for start_s, _ in self.ran
+        if last_event:
+            headers |= {"Last-Event-Id": str(last_event), "Resumes": first_id}
+        record.write(f"sent turn {request_id} to {machine.name} after {last_event}")
+        answer = await call(
+            machine.host, machine.port, "POST", "/lohu930/4b", headers, b"x" * 4000
         )
+        if answer.status != 200:
+            avoided.add(machine.name)
+        record.write(
+            f"answered {request_id} {answer.status} complete={answer.complete} "
+            f"events={answer.body.count(b'data:')}"
+        )
+        return answer, request_id
 
 
-async def scenario(system: System, with_trouble: bool) -> bool:
-    """Returns whether QUOTA was broken."""
+async def interrupt(system: System, start_s: float) -> None:
+    """Takes the store down and kills the process that last wrote to it."""
     record = system.record
-    case = Case(system)
-    for number in range(4):
-        runner = await system.add_runner(f"i-app-{number}", "filing-app", slots=12)
-        runner.behave = case.run
-    route = make_route("alert", "/pule252/", "idempotent", "filing-app", TimeoutMs=1200)
-    tenant = {
-        "Name": "hule930",
-        "ApiKeys": [KEY],
-        "RatePerS": RATE_PER_S,
-        "Burst": BURST,
-    }
+    await asyncio.sleep(max(0.0, start_s - record.now_s()))
+    store = system.store
+    store.set_down(True)
+    record.write("the store is down")
+    await asyncio.sleep(OUTAGE_S - KILL_BEFORE_END_S)
+    (victim,) = [m for m in system.machines if m.name == store.last_writer]
+    restart = asyncio.create_task(victim.restart(RESTART_S))
+    record.write(f"{victim.name} is killed")
+    await asyncio.sleep(KILL_BEFORE_END_S)
+    store.set_down(False)
+    record.write("the store is back")
+    await restart
+
+
+async def scenario(system: System, with_trouble: bool) -> bool:
+    """Returns whether BUDGET was broken."""
+    for number in range(3):
+        runner = await system.add_runner(f"i-llm-{number}", "agent-llm", slots=16)
+        runner.behave = run_turn
+    route = make_route(
+        "digest-turn",
+        "/lohu930/",
+        "streaming",
+        "agent-llm",
+        TimeoutMs=4000,
+        Resumable=True,
+        KeepsHistory=False,
+        Sticky=True,
+    )
+    tenant = {"Name": "hule930", "ApiKeys": [KEY]}
     system.write_config(make_config(7, [route], [tenant]))
-    await system.start_machines(MACHINES, zones="ab")
-    await asyncio.sleep(2.0)
-    for _ in range(20):
-        await case.send(system.machines[0], "zone-a")
-        await asyncio.sleep(0.1)
-    (leader,) = [m for m in system.machines if m.name == system.store.last_writer]
-    record.write(f"{leader.name} was the last to write to the store")
-    near = [leader] + [
-        m for m in system.machines if m.zone == leader.zone and m is not leader
-    ]
+    await system.start_machines(MACHINES)
+    await asyncio.sleep(4.0)
+    program = Program(system)
+    tasks = [asyncio.create_task(program.run())]
     if with_trouble:
-        leader.signal(signal.SIGSTOP)
-        record.write(f"{leader.name} is frozen")
-    await asyncio.sleep(FROZEN_S)
-    leader.signal(signal.SIGCONT)
-    record.write(f"{leader.name} runs on")
-    started_s = record.now_s()
-    tasks = []
-    is_down = False
-    case.addresses.clear()
-    for number in range(int(HOT_S * HOT_PER_S)):
-        next_s = started_s + number / HOT_PER_S
-        await asyncio.sleep(max(0.0, next_s - record.now_s()))
-        if with_trouble and not is_down and next_s > started_s + WOKEN_S:
-            is_down = True
-            system.store.set_down(True)
-            record.write("the store is down")
-            loop = asyncio.get_running_loop()
-            loop.call_later(DOWN_S, system.store.set_down, False)
-        tasks.append(
-            asyncio.create_task(case.send(near[number % len(near)], leader.zone))
-        )
-    await asyncio.gather(*tasks)
-    most = case.most_in_window()
-    window = BOUNDS["QuotaWindowS"] * RATE_PER_S + BURST
-    allowed = window * (1 + BOUNDS["QuotaOverrun"]) + BOUNDS["QuotaSlack"]
-    record.write(f"{most} requests ran in one window, {allowed:.0f} allowed")
-    return most > allowed
+        tasks += [
+            asyncio.create_task(interrupt(system, program.started_s + at_s))
+            for at_s in OUTAGES_AT_S
+        ]
+    async with asyncio.timeout(PROGRAM_S):
+        await asyncio.gather(*tasks)
+    allowed = BUDGET_TOKENS + TURN_TOKENS
+    system.record.write(f"{program.handed_tokens} tokens handed out, {allowed} allowed")
+    return program.handed_tokens > allowed
 
 
 if __name__ == "__main__":
