--- a/review/4/case.py
+++ b/review/4/case.py
@@ -29,7 +29,7 @@
 HOT_S = 6.0
 FROZEN_S = 4.0
 # The store goes down this long after the machine has woken.
-WOKEN_S = 0.8
+WOKEN_S = 0.5
 DOWN_S = 4.5
 WORK_S = 0.01
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -510,14 +510,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that are free on all loopback addresses."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("0.0.0.0", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Returns consecutive ports that are free on all loopback addresses."""
+    while True:
+        first = random.randrange(20_000, 32_000)
+        sockets: list[socket.socket] = []
+        try:
+            for port in range(first, first + count):
+                sockets.append(socket.socket())
+                sockets[-1].bind(("0.0.0.0", port))
+            return list(range(first, first + count))
+        except OSError:
+            continue
+        finally:
+            for sock in sockets:
+                sock.close()
 
 
 @dataclass(slots=True)
