--- a/review/3/case.py
+++ b/review/3/case.py
@@ -171,8 +171,7 @@
     if with_trouble:
         stopped.signal(signal.SIGTERM)
         record.write(f"{stopped.name} gets SIGTERM")
-        assert stopped.process is not None
-        await stopped.process.wait()
+        await stopped.wait()
         record.write(f"{stopped.name} has ended")
     await asyncio.gather(*clients)
     lost = case.lost(stopped, signal_s)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -68,8 +68,10 @@
     async def run(self) -> None:
         """Runs turns, and returns once after it was stopped."""
         for _ in range(2):
-            while await self._turn() != "stopped":
+            while (outcome := await self._turn()) == "done":
                 await asyncio.sleep(TOOL_S)
+            if outcome == "failed":
+                return
             await asyncio.sleep(RETURN_AFTER_S)
 
     async def _turn(self) -> str:
@@ -96,7 +98,7 @@
                 await asyncio.sleep(min(retry_s, left_s / 3))
             await asyncio.sleep(random.uniform(0.1, 0.4))
         self.system.record.write("a turn failed three times")
-        return "stopped"
+        return "failed"
 
     async def _attempt(
         self, left_s: float, last_event: int, first_id: str, avoided: set[str]
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -12,6 +12,8 @@
 import random
 import signal
 import socket
+import struct
+import subprocess
 import sys
 import tempfile
 import time
@@ -85,6 +87,16 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection with a TCP reset."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.transport.is_closing():
+        linger = struct.pack("ii", 1, 0)
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Store:
     """The platform's store: rows, transactions and the change feed."""
 
@@ -114,7 +126,7 @@
         self.is_down = is_down
         if is_down:
             for writer in list(self._writers):
-                writer.transport.abort()
+                reset(writer)
 
     def put(self, table: str, key: str, value: bytes | None, part: str = "") -> int:
         """Writes or removes a row as the operator or a runner; returns the version."""
@@ -152,7 +164,7 @@
             pass
         finally:
             self._writers.discard(writer)
-            writer.transport.abort()
+            reset(writer)
 
     async def _handle(
         self, request: Request, machine: str
@@ -536,7 +548,7 @@
     ports: list[int]
     settings_path: Path
     log_path: Path
-    process: asyncio.subprocess.Process | None = None
+    process: subprocess.Popen[bytes] | None = None
 
     @property
     def port(self) -> int:
@@ -591,10 +603,9 @@
         env["DAMASKSADDLE_NODE_FILE"] = str(self.settings_path)
         env["PYTHONPATH"] = str(REPOSITORY / "target" / "deps")
         with self.log_path.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                "python3",
-                "-m",
-                "damasksaddle_platform",
+            # Without an await, so that no process is started and then forgotten.
+            self.process = subprocess.Popen(
+                ["python3", "-m", "damasksaddle_platform"],
                 cwd=REPOSITORY,
                 env=env,
                 stdout=log,
@@ -603,14 +614,18 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process, if it runs."""
-        if self.process is not None and self.process.returncode is None:
+        if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
     async def kill(self) -> None:
         """Kills the process and waits for its end."""
         self.signal(signal.SIGKILL)
-        if self.process is not None:
-            await self.process.wait()
+        await self.wait()
+
+    async def wait(self) -> None:
+        """Waits for the end of the process."""
+        while self.process is not None and self.process.poll() is None:
+            await asyncio.sleep(0.02)
 
     async def restart(self, after_s: float) -> None:
         """Kills the process and starts it again after a delay."""
@@ -625,7 +640,7 @@
 
     def memory_mb(self) -> float:
         """Returns the resident memory of the process, or 0 if it has ended."""
-        if self.process is None or self.process.returncode is not None:
+        if self.process is None or self.process.poll() is not None:
             return 0.0
         status = Path(f"/proc/{self.process.pid}/status")
         with suppress(OSError):
@@ -739,6 +754,11 @@
 
     async def stop(self) -> None:
         """Ends all that was started."""
+        # A task may be about to start a process again.
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
         for machine in self.machines:
             machine.signal(signal.SIGCONT)
             await machine.kill()
@@ -795,6 +815,10 @@
 
 async def _play(scenario: Scenario, folder: Path) -> int:
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    task = asyncio.current_task()
+    assert task is not None
+    # A script that is told to end ends its processes first.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     record = Record(folder / "record.txt")
     with tempfile.TemporaryDirectory() as temporary:
         system = System(record, Path(temporary), Store())
@@ -815,7 +839,7 @@
     """Plays a scenario and exits with 1 (rule broken), 0 (held) or 2 (not run)."""
     try:
         status = asyncio.run(_play(scenario, folder))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         status = 2
     sys.exit(status)
