--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -597,13 +597,16 @@
 
     async def start(self) -> None:
         """Starts the process with the command of the deploy file."""
+        self._spawn()
+
+    def _spawn(self) -> None:
         env = {
             name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
         }
         env["DAMASKSADDLE_NODE_FILE"] = str(self.settings_path)
         env["PYTHONPATH"] = str(REPOSITORY / "target" / "deps")
         with self.log_path.open("ab") as log:
-            # Without an await, so that no process is started and then forgotten.
+            # No await here, so that no process is started and then forgotten.
             self.process = subprocess.Popen(
                 ["python3", "-m", "damasksaddle_platform"],
                 cwd=REPOSITORY,
