Skip an unreadable row alone, and start failed background tasks again

Cause: json.loads raises RecursionError for nested text, the decoder expected ValueError. The exception ended the task that follows the upstreams, and the service framework marks the services beside it as crashed, so all of their tasks end while the process serves on. Evidence: "Crashed reason=" with that trace in the logs, and the age of the configuration, whose own row is sound. Ruled out: a page that is too large. A page without a readable row was a fault of its own (IndexError in read_all) and is mended too.

A row at which a decoder fails is skipped, logged and counted. A background task that fails is logged with its trace, counted and started again. A VM that cannot follow the upstreams is not ready.

--- a/packages/core/src/damasksaddle/platform/interfaces.py
+++ b/packages/core/src/damasksaddle/platform/interfaces.py
@@ -18,6 +18,16 @@
     write_id: str = ""
     deleted: bool = False
 
+    @property
+    def table(self) -> str:
+        """The first field of a key that `row_key` built."""
+        return self.key.split("/", 1)[0]
+
+    @property
+    def name(self) -> str:
+        """The last field of a key that `row_key` built; it may contain slashes."""
+        return self.key.split("/", 2)[2]
+
 
 @dataclass(frozen=True, slots=True)
 class Page:
@@ -25,13 +35,16 @@
     A consistent snapshot of rows.
 
     `version` is the latest version in the whole table service, `now_ms` is its
-    monotonic clock, and `complete` is False if rows of the range are left out.
+    monotonic clock, and `complete` is False if rows of the range are left out. The next
+    page then starts after `last_key`, which may belong to a row that cannot be read and
+    is not in `rows`.
     """
 
     rows: list[Row]
     version: int
     now_ms: int
     complete: bool = True
+    last_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/damasksaddle/utils/metrics.py
+++ b/packages/core/src/damasksaddle/utils/metrics.py
@@ -38,6 +38,8 @@
     UPSTREAM_LIMITS = "upstream_limits"
     QUARANTINES = "quarantines"
     CONTINUED_STREAMS = "streams.continued"
+    TASK_FAILURES = "tasks.failed"
+    INVALID_ROWS = "rows.invalid"
 
 
 class Timing(StrEnum):
@@ -80,6 +82,8 @@
     ),
     Counter.QUARANTINES: "requests that were quarantined for crashing upstreams",
     Counter.CONTINUED_STREAMS: "requests that continue a stream",
+    Counter.TASK_FAILURES: "background tasks that failed and were started again",
+    Counter.INVALID_ROWS: "rows of the store that were skipped, by table",
     Timing.RATE_WAIT: "wait for the workspace's rate",
     Timing.QUEUE_WAIT: "wait in the queue of a pool",
     Timing.FIRST_TOKEN: "from a call's start at its owner to its first token",
--- a/packages/gateway/src/damasksaddle_gateway/announcements.py
+++ b/packages/gateway/src/damasksaddle_gateway/announcements.py
@@ -17,6 +17,7 @@
 
 from damasksaddle.exceptions import PeerError, Refusal
 from damasksaddle.utils import get_logger
+from damasksaddle_gateway.background import background_task
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_node.peers import Sender
@@ -99,7 +100,7 @@
         self._replies.add(task)
         task.add_done_callback(self._replies.discard)
 
-    @Service.task
+    @background_task
     async def _ask_for_announcements(self) -> None:
         for _ in range(ASK_ROUNDS):
             for number in range(MAX_TRIES):
@@ -125,7 +126,7 @@
             return False
         return True
 
-    @Service.task
+    @background_task
     async def _send_announcements(self) -> None:
         while not self.should_stop:
             await self._published.wait()
--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -30,8 +30,9 @@
     TableUnavailable,
     WriteConflict,
 )
-from damasksaddle.platform import Put, row_key
-from damasksaddle.utils import boottime_s, get_logger, partition_of
+from damasksaddle.platform import Put, Row, row_key
+from damasksaddle.utils import Counter, boottime_s, count, get_logger, partition_of
+from damasksaddle_gateway.background import background_task
 from damasksaddle_gateway.rows import CachedRow, update_row
 from damasksaddle_gateway.store import StoreCircuitBreaker
 
@@ -98,6 +99,15 @@
     return (value["granted"], value["spent"]) if value else (0, 0)
 
 
+def _changed_ms(row: Row) -> float:
+    """Returns when a row was last changed, or 0 for one that cannot be read."""
+    try:
+        return float(json.loads(row.value)["at_ms"])
+    except (ValueError, TypeError, KeyError, RecursionError):
+        count(Counter.INVALID_ROWS, TABLE)
+        return 0.0
+
+
 @dataclass(slots=True)
 class Reservation:
     """Tokens reserved for one turn."""
@@ -386,7 +396,7 @@
                     account.available += unused
                     self._schedule_return(account)
 
-    @Service.task
+    @background_task
     async def _clean_up_periodically(self) -> None:
         while not self.should_stop:
             await self.sleep(CLEANUP_INTERVAL_S * random.uniform(0.8, 1.2))
@@ -414,14 +424,14 @@
             old = [
                 Put(row.key, None, row.version)
                 for row in page.rows
-                if json.loads(row.value).get("at_ms", 0.0) < oldest_ms
+                if _changed_ms(row) < oldest_ms
             ]
             if old:
                 await self._table.commit(old)
                 removed += len(old)
             if page.complete:
                 return removed
-            after = page.rows[-1].key
+            after = page.last_key
 
     async def on_stop(self) -> None:
         """Returns unused tokens to the store, as far as it is available."""
--- a/packages/gateway/src/damasksaddle_gateway/config_watcher.py
+++ b/packages/gateway/src/damasksaddle_gateway/config_watcher.py
@@ -21,7 +21,8 @@
 from damasksaddle.exceptions import ResponseLost, TableUnavailable
 from damasksaddle.platform import Page, Row, row_key
 from damasksaddle.utils import boottime_s, get_logger
-from damasksaddle_gateway.feeds import RETRY_S, TableFeed, read_all
+from damasksaddle_gateway.background import background_task
+from damasksaddle_gateway.feeds import RETRY_S, TableFeed, decode, read_all
 from damasksaddle_gateway.interfaces import RowDecoder
 from damasksaddle_gateway.routing_config import RoutingConfig, Upstream
 from damasksaddle_gateway.store import StoreCircuitBreaker
@@ -92,7 +93,7 @@
             if upstream.service == service and not upstream.draining
         ]
 
-    @Service.task
+    @background_task
     async def _follow_config(self) -> None:
         await self._feed.follow(lambda: self.should_stop)
 
@@ -127,7 +128,7 @@
 
     def _apply_config(self, rows: list[Row]) -> None:
         for row in rows:
-            config = None if row.deleted else self._decoder.decode_config(row)
+            config = None if row.deleted else decode(self._decoder.decode_config, row)
             if config is None:
                 continue
             if self.config and config.version <= self.config.version:
@@ -141,7 +142,7 @@
             )
             self.config = config
 
-    @Service.task
+    @background_task
     async def _follow_upstreams(self) -> None:
         while not self.should_stop:
             interval_s = self.drain_ms / 1000 * UPSTREAM_POLL_SHARE
@@ -164,7 +165,7 @@
     def _replace_upstreams(self, rows: list[Row], now_s: float) -> None:
         listed = {}
         for row in rows:
-            upstream = self._decoder.decode_upstream(row)
+            upstream = decode(self._decoder.decode_upstream, row)
             if upstream is not None:
                 listed[upstream.id] = upstream
         if now_s - self._outage_ended_s < REREGISTRATION_S:
--- a/packages/gateway/src/damasksaddle_gateway/feeds.py
+++ b/packages/gateway/src/damasksaddle_gateway/feeds.py
@@ -3,23 +3,42 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from damasksaddle.exceptions import ChangesExpired, ResponseLost, TableUnavailable
-from damasksaddle.platform import Page, VersionedTable, row_key
-from damasksaddle.utils import boottime_s, get_logger
+from damasksaddle.platform import Page, Row, VersionedTable, row_key
+from damasksaddle.utils import Counter, boottime_s, count, get_logger
 
 log = get_logger("feeds")
 
+Result = TypeVar("Result")
+
 # Delay after a failed read, to limit the load on an unavailable store.
 RETRY_S = 0.25
 
 
+def decode(decoder: Callable[[Row], Result | None], row: Row) -> Result | None:
+    """
+    Returns the decoded row, or None if it holds nothing usable.
+
+    A row at which the decoder fails is skipped, so that it costs no other row.
+    """
+    try:
+        return decoder(row)
+    except Exception as error:
+        count(Counter.INVALID_ROWS, row.table)
+        log.warning("A row cannot be decoded.", row=row.key, error=repr(error)[:200])
+        return None
+
+
 async def read_all(table: VersionedTable, prefix: str) -> Page:
     """Reads all rows with a prefix by page; the version is that of the first page."""
     page = first = await table.page(prefix)
     rows = list(first.rows)
     while not page.complete:
-        page = await table.page(prefix, after=page.rows[-1].key)
+        if not page.last_key:
+            raise TableUnavailable(f"{prefix}: an empty page is not the last one")
+        page = await table.page(prefix, after=page.last_key)
         rows += page.rows
     return Page(rows, first.version, first.now_ms)
 
--- a/packages/gateway/src/damasksaddle_gateway/membership.py
+++ b/packages/gateway/src/damasksaddle_gateway/membership.py
@@ -18,7 +18,8 @@
 from damasksaddle.exceptions import PlatformError
 from damasksaddle.platform import Page, Put, Row, row_key
 from damasksaddle.utils import boottime_s, get_logger, rendezvous
-from damasksaddle_gateway.feeds import TableFeed, read_all
+from damasksaddle_gateway.background import background_task
+from damasksaddle_gateway.feeds import TableFeed, decode, read_all
 from damasksaddle_gateway.settings import GatewaySettings
 from damasksaddle_gateway.store import StoreCircuitBreaker
 
@@ -157,11 +158,11 @@
         self._live_cache = None
         await self._register()
 
-    @Service.task
+    @background_task
     async def _follow_vms(self) -> None:
         await self._feed.follow(lambda: self.should_stop)
 
-    @Service.task
+    @background_task
     async def _send_heartbeats(self) -> None:
         while not self.should_stop:
             if not self._is_registered():
@@ -211,8 +212,9 @@
     def _on_snapshot(self, page: Page, requested_s: float) -> None:
         members = {}
         for row in page.rows:
-            member = self._member(row)
-            members[member.vm] = member
+            member = decode(self._member, row)
+            if member is not None:
+                members[member.vm] = member
         for vm in self._members.keys() - members.keys():
             log.info("A VM's row was removed.", vm=vm)
         self._members = members
@@ -223,16 +225,15 @@
     def _on_changes(self, page: Page) -> None:
         for row in page.rows:
             if row.deleted:
-                removed = self._members.pop(_vm_of_row(row), None)
+                removed = self._members.pop(row.name, None)
                 if removed is not None:
                     log.info("A VM's row was removed.", vm=removed.vm)
-            else:
-                member = self._member(row)
+            elif (member := decode(self._member, row)) is not None:
                 self._members[member.vm] = member
         self._live_cache = None
 
     def _member(self, row: Row) -> Member:
-        vm = _vm_of_row(row)
+        vm = row.name
         known = self._members.get(vm)
         if known is not None and known.version == row.version:
             return known
@@ -268,7 +269,7 @@
 
     def _record_heartbeats(self, rows: list[Row], now_s: float) -> None:
         for row in rows:
-            member = self._members.get(_vm_of_row(row))
+            member = self._members.get(row.name)
             if member is not None and member.heartbeat_version != row.version:
                 member.heartbeat_version = row.version
                 member.last_seen_s = now_s
@@ -303,7 +304,3 @@
     min_cores = SMALL_VM_SHARE * max(member.cores for member in members)
     large = [member for member in members if member.cores >= min_cores]
     return large if len(large) >= MIN_LARGE_VMS else members
-
-
-def _vm_of_row(row: Row) -> str:
-    return row.key.rpartition("/")[2]
--- a/packages/gateway/src/damasksaddle_gateway/outage_detector.py
+++ b/packages/gateway/src/damasksaddle_gateway/outage_detector.py
@@ -15,6 +15,7 @@
 
 from damasksaddle.exceptions import PeerError, Refusal
 from damasksaddle.utils import boottime_s, get_logger
+from damasksaddle_gateway.background import background_task
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.store import StoreCircuitBreaker
@@ -72,7 +73,7 @@
     ) -> StoreReached:
         return StoreReached(self._store.is_available())
 
-    @Service.task
+    @background_task
     async def _poll_during_outage(self) -> None:
         while not self.should_stop:
             await self._store.unavailable.wait()
--- a/packages/gateway/src/damasksaddle_gateway/peers.py
+++ b/packages/gateway/src/damasksaddle_gateway/peers.py
@@ -16,6 +16,7 @@
 from damasksaddle.exceptions import PeerTimeout, ResponseLost, TableUnavailable
 from damasksaddle.platform import row_key
 from damasksaddle.utils import get_logger
+from damasksaddle_gateway.background import background_task
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.rows import CachedRow, update_row
 from damasksaddle_gateway.settings import GatewaySettings
@@ -69,7 +70,7 @@
             self._pool.disconnect_if_silent(vm, timeout_s)
             raise
 
-    @Service.task
+    @background_task
     async def _open(self) -> None:
         while not self.should_stop:
             try:
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -183,6 +183,7 @@
             not self.draining
             and self._config_watcher.config is not None
             and self._config_watcher.config_age_s() < self._max_config_age_s()
+            and self._config_watcher.upstreams_age_s() < self._max_config_age_s()
         )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/packages/gateway/src/damasksaddle_gateway/settings_watcher.py
+++ b/packages/gateway/src/damasksaddle_gateway/settings_watcher.py
@@ -13,6 +13,7 @@
 
 from damasksaddle.exceptions import SettingsInvalid
 from damasksaddle.utils import get_logger
+from damasksaddle_gateway.background import background_task
 from damasksaddle_gateway.settings import GatewaySettings
 
 log = get_logger("settings")
@@ -53,7 +54,7 @@
             return None
         return status.st_ino, status.st_mtime_ns, status.st_size
 
-    @Service.task
+    @background_task
     async def _follow_file(self) -> None:
         while not self.should_stop:
             try:
--- a/packages/gateway/src/damasksaddle_gateway/version_splits.py
+++ b/packages/gateway/src/damasksaddle_gateway/version_splits.py
@@ -26,9 +26,10 @@
 from damasksaddle.exceptions import NotFresh, ResponseLost, TableUnavailable
 from damasksaddle.platform import Page, Row, row_key
 from damasksaddle.utils import boottime_s, get_logger
+from damasksaddle_gateway.background import background_task
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.coordinators import Coordinators
-from damasksaddle_gateway.feeds import TableFeed
+from damasksaddle_gateway.feeds import TableFeed, decode
 from damasksaddle_gateway.routing_config import is_resumable
 from damasksaddle_gateway.rows import CachedRow, update_row
 from damasksaddle_gateway.store import StoreCircuitBreaker
@@ -343,7 +344,7 @@
     def _on_changes(self, page: Page) -> None:
         for row in page.rows:
             if not row.deleted:
-                self._adopt_row(row.key.rpartition("/")[2], row)
+                decode(lambda row: self._adopt_row(row.name, row), row)
 
     def _adopt_row(self, service: str, row: Row) -> None:
         self._adopt(service, row.version, json.loads(row.value))
@@ -359,11 +360,11 @@
         known.split = split
         self.on_moved(service)
 
-    @Service.task
+    @background_task
     async def _follow(self) -> None:
         await self._feed.follow(lambda: self.should_stop)
 
-    @Service.task
+    @background_task
     async def _rebalance_all(self) -> None:
         """Adapts the splits that this VM coordinates when the upstreams change."""
         while not self.should_stop:
--- a/packages/standins/src/damasksaddle_standins/versioned_table.py
+++ b/packages/standins/src/damasksaddle_standins/versioned_table.py
@@ -115,7 +115,8 @@
 
     def _page(self, rows: list[Row], complete: bool = True) -> Page:
         now_ms = int(asyncio.get_running_loop().time() * 1000) + 1
-        return Page(rows, self._rows.version, now_ms, complete)
+        last_key = rows[-1].key if rows else ""
+        return Page(rows, self._rows.version, now_ms, complete, last_key)
 
     async def row(self, key: str) -> Row | None:
         await self._simulate_call(CALL_LATENCY_S)
--- a/tests/gateway/test_config_watcher.py
+++ b/tests/gateway/test_config_watcher.py
@@ -8,6 +8,8 @@
 import pytest
 
 from damasksaddle.platform import Put, Row
+from damasksaddle.utils import Counter
+from damasksaddle.utils.metrics import counter_value
 from damasksaddle_gateway.config_watcher import FEED_WAIT_S, ConfigWatcher
 from damasksaddle_gateway.routing_config import RoutingConfig, Upstream
 from damasksaddle_gateway.store import StoreCircuitBreaker
@@ -16,6 +18,8 @@
 pytestmark = pytest.mark.looptime
 
 CONFIG_KEY = "op//config"
+# A value at which the decoder fails in a way that it does not expect itself.
+UNEXPECTED_VALUE = "unexpected"
 
 
 class StubDecoder:
@@ -28,6 +32,8 @@
         return RoutingConfig(int(row.value), (), {}, {}, {})
 
     def decode_upstream(self, row: Row) -> Upstream | None:
+        if row.value == UNEXPECTED_VALUE:
+            raise RecursionError
         name = row.key.rpartition("/")[2]
         return Upstream(name, "llm", "10.0.0.1:80", "a", 4, json.loads(row.value))
 
@@ -155,3 +161,49 @@
             ages_s.append(config_watcher.config_age_s())
         # The feed's long-poll time, plus the interval between two recorded versions.
         assert max(ages_s[20:]) < FEED_WAIT_S + 0.15
+
+
+async def test_an_entry_at_which_the_decoder_fails_costs_that_entry_alone(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against one row that ends the tasks which follow all rows."""
+    write_config_version(rows, 1)
+    write_upstream(rows, "u1")
+    async with watching(table) as config_watcher:
+        rows.apply([Put("servers//odd", UNEXPECTED_VALUE)])
+        write_upstream(rows, "u2")
+        await asyncio.sleep(1.5)
+        write_upstream(rows, "u1", draining=True)
+        write_config_version(rows, 2)
+        await asyncio.sleep(1.5)
+        assert {u.id for u in config_watcher.available_upstreams("llm")} == {"u2"}
+        assert config_watcher.config is not None
+        assert config_watcher.config.version == 2
+
+
+async def test_a_failed_task_is_counted_and_starts_again(
+    rows: VersionedRows,
+    table: MemoryVersionedTable,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a task that ends for good, and ends the tasks beside it."""
+    write_config_version(rows, 1)
+    write_upstream(rows, "u1")
+    task = "ConfigWatcher._follow_upstreams"
+    failures = counter_value(Counter.TASK_FAILURES, task)
+    async with watching(table) as config_watcher:
+        with monkeypatch.context() as patch:
+            patch.setattr(config_watcher, "_read_upstreams", _fail)
+            await asyncio.sleep(3)
+            assert config_watcher.upstreams_age_s() > 2.9
+            assert counter_value(Counter.TASK_FAILURES, task) > failures
+            write_config_version(rows, 2)
+            await asyncio.sleep(0.5)
+            assert config_watcher.config is not None
+            assert config_watcher.config.version == 2
+        await asyncio.sleep(2)
+        assert config_watcher.upstreams_age_s() < 1
+
+
+async def _fail() -> None:
+    raise IndexError("unexpected")
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -136,6 +136,7 @@
     config_watcher = ConfigWatcher(table, RecordDecoder(), settings.drain_ms)
     config_watcher.config = CONFIG
     config_watcher.config_age_s = lambda: 0.0  # type: ignore[method-assign]
+    config_watcher.upstreams_age_s = lambda: 0.0  # type: ignore[method-assign]
     membership = Membership(table, settings)
     peers = Peers(table, membership, settings)
     coordinators = Coordinators(settings.vm, table, membership, peers)
@@ -288,6 +289,15 @@
         assert not gateway.request_handler.is_ready()
 
 
+async def test_a_vm_that_cannot_follow_the_upstreams_is_not_ready() -> None:
+    """Guards against listing a VM to callers that sends to upstreams long gone."""
+    async with run_gateway(respond_ok) as gateway:
+        assert gateway.request_handler.is_ready()
+        watcher = gateway.config_watcher
+        watcher.upstreams_age_s = lambda: 4.8  # type: ignore[method-assign]
+        assert not gateway.request_handler.is_ready()
+
+
 async def test_a_rejected_request_goes_to_the_next_upstream() -> None:
     """Guards against refusing a request that another upstream has room for."""
     async with run_gateway(reject_as_full, reject_as_full, respond_ok) as gateway:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -88,7 +88,9 @@
     assert config.find_workspace("k3") is None
 
 
-@pytest.mark.parametrize("text", ["", "[]", "{}", '{"Version": 1}', "\x00"])
+@pytest.mark.parametrize(
+    "text", ["", "[]", "{}", '{"Version": 1}', "\x00", "[" * 30_000]
+)
 def test_invalid_configuration_rows_are_ignored(text: str) -> None:
     """Guards against one invalid row that stops the process or its routes."""
     assert RecordDecoder().decode_config(Row("op//config", text, 3)) is None
@@ -122,6 +124,13 @@
         {"SeqNum": None},
         {"Version": None},
         {"Zone": ["a"]},
+        {"Address": "10.1.0.9:0"},
+        {"Address": "10.1.0.9:65536"},
+        {"Address": "10.1.0.999:8080"},
+        {"Address": "10.1:8080"},
+        {"Slots": 10**400},
+        {"born": -1},
+        {"born": 10**30},
     ],
 )
 def test_invalid_upstream_entries_are_ignored(changes: dict[str, object]) -> None:
@@ -129,7 +138,19 @@
     assert RecordDecoder().decode_upstream(_server_row(**changes)) is None
 
 
-@pytest.mark.parametrize("text", ["", "null", "[1]", "{", '"x"'])
+@pytest.mark.parametrize(
+    "text",
+    ["", "null", "[1]", "{", '"x"', "[" * 30_000, '{"a":' * 30_000, "9" * 10_000],
+)
 def test_unreadable_upstream_entries_are_ignored(text: str) -> None:
     """Guards against an unreadable entry that prevents reading valid ones."""
     assert RecordDecoder().decode_upstream(Row("servers//i-1", text, 3)) is None
+
+
+def test_a_key_with_slashes_is_not_the_key_behind_them() -> None:
+    """Guards against an entry of another writer that replaces an upstream's own."""
+    row = Row("servers//x/i-1", json.dumps(SERVER_ENTRY), 3)
+    upstream = RecordDecoder().decode_upstream(row)
+    assert upstream is not None
+    assert upstream.id == "x/i-1"
+    assert RecordDecoder().decode_config(Row("op//x/config", "{}", 3)) is None
