Fit the TTL of addresses to the grace period and the longest request

Cause: callers may use an address for three times its TTL, 4.5 s, and a request may take 4 s; with the margin for closing connections that does not fit into a grace period of 8 s. Evidence: each turn that was cut went to an address from before the signal. Ruled out: a stop that does not wait (7.6 s between Leaving. and Stopped.), and VMs that list the VM after it left.

Settings that do not fit are logged. A leaving VM refuses a request that it could not finish, with 503 before it runs.

--- a/packages/gateway/src/damasksaddle_gateway/config_watcher.py
+++ b/packages/gateway/src/damasksaddle_gateway/config_watcher.py
@@ -15,6 +15,7 @@
 import asyncio
 import math
 from collections import deque
+from collections.abc import Callable
 
 from mode import Service
 
@@ -59,6 +60,8 @@
         self.drain_ms = drain_ms
         self.config: RoutingConfig | None = None
         self.upstreams: dict[str, Upstream] = {}
+        # Called after a new configuration was applied.
+        self.on_applied: Callable[[], None] = lambda: None
         self._feed = TableFeed(
             table,
             decoder.config_table,
@@ -141,6 +144,7 @@
                 age_s=round(self.config_age_s(), 3),
             )
             self.config = config
+            self.on_applied()
 
     @background_task
     async def _follow_upstreams(self) -> None:
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -16,6 +16,12 @@
 from damasksaddle_gateway.budgets import Budgets
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.coordinators import Coordinators
+from damasksaddle_gateway.grace import (
+    ADDRESS_RETENTION_FACTOR,
+    address_ttl_s,
+    fitting_ttl_s,
+    serving_s,
+)
 from damasksaddle_gateway.interfaces import HeaderCodec, RowDecoder
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.outage_detector import OutageDetector
@@ -37,10 +43,6 @@
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
-# Callers use addresses for up to three times the TTL that they were given.
-ADDRESS_RETENTION_FACTOR = 3
-# Part of the grace period reserved for closing open connections.
-STOP_MARGIN_S = 0.7
 STOP_POLL_S = 0.05
 # Time that requests still active at the end of the grace period get to finish.
 CONNECTION_CLOSE_S = 0.3
@@ -55,12 +57,12 @@
         request_handler: RequestHandler,
         membership: Membership,
         codec: HeaderCodec,
-        address_ttl_s: float,
+        address_ttl_s: Callable[[], float],
     ) -> None:
         self._request_handler = request_handler
         self._membership = membership
         self._codec = codec
-        self.address_ttl_s = address_ttl_s
+        self._address_ttl_s = address_ttl_s
 
     async def ready(self, request: web.BaseRequest) -> web.Response:
         """Responds with 200 if this VM accepts new requests, and 503 otherwise."""
@@ -73,7 +75,7 @@
         )
         if not addresses:
             return web.Response(status=503)
-        body = self._codec.addresses_body(addresses, self.address_ttl_s)
+        body = self._codec.addresses_body(addresses, self._address_ttl_s())
         return web.json_response(body)
 
 
@@ -148,11 +150,32 @@
         )
         self.membership.is_ready = self.request_handler.is_ready
         self.directory = Directory(
-            self.request_handler, self.membership, codec, settings.address_ttl_s
+            self.request_handler, self.membership, codec, self._address_ttl_s
         )
+        self.config_watcher.on_applied = self._check_grace_period
         self._runners: list[web.ServerRunner] = []
         self._stop_deadline_s = -math.inf
 
+    def _longest_request_s(self) -> float:
+        config = self.config_watcher.config
+        return config.longest_timeout_ms() / 1000 if config is not None else 0.0
+
+    def _address_ttl_s(self) -> float:
+        return address_ttl_s(self.settings, self._longest_request_s())
+
+    def _check_grace_period(self) -> None:
+        """Logs settings with which a planned stop may have to refuse requests."""
+        longest_request_s = self._longest_request_s()
+        ttl_s = self._address_ttl_s()
+        if ttl_s > fitting_ttl_s(self.settings, longest_request_s):
+            log.warning(
+                "The grace period is too short for the longest route timeout.",
+                grace_s=self.settings.grace_s,
+                longest_timeout_s=longest_request_s,
+                address_ttl_s=ttl_s,
+                retention_factor=ADDRESS_RETENTION_FACTOR,
+            )
+
     def on_init_dependencies(self) -> list[ServiceT]:
         return [
             self.config_watcher,
@@ -215,7 +238,7 @@
         self.config_watcher.drain_ms = settings.drain_ms
         self.request_handler.key_revocation_ms = settings.key_revocation_ms
         self.budgets.settle_s = settings.settle_ms / 1000
-        self.directory.address_ttl_s = settings.address_ttl_s
+        self._check_grace_period()
 
     async def drain(self) -> None:
         """
@@ -229,10 +252,10 @@
         log.info(
             "Leaving.", vm=settings.vm, running=self.request_handler.active_requests
         )
-        self.request_handler.draining = True
-        await self.membership.leave()
-        deadline_s = started_s + settings.grace_s - STOP_MARGIN_S
+        deadline_s = started_s + serving_s(settings)
         self._stop_deadline_s = deadline_s
+        self.request_handler.start_draining(deadline_s)
+        await self.membership.leave()
         addresses_expire_s = (
             started_s + settings.address_ttl_s * ADDRESS_RETENTION_FACTOR
         )
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 
 from aiohttp import hdrs, web
 
@@ -22,6 +23,7 @@
     Refusal,
     RouteNotFound,
     SizeLimitExceeded,
+    Stopping,
     UpstreamUnavailable,
 )
 from damasksaddle.utils import (
@@ -73,6 +75,8 @@
 # Retry-After of refusals for temporary conditions.
 NOT_FRESH_RETRY_S = 0.5
 NO_UPSTREAM_RETRY_S = 0.2
+# Another VM can serve the request at once.
+STOPPING_RETRY_S = 0.0
 # Shares of a request's timeout that it may wait for its rate. A program fails with a
 # single call that fails, and most calls take a small part of their time to run. Callers
 # abandon a stream that does not start within two seconds.
@@ -172,8 +176,15 @@
         # How long a withdrawn key may remain accepted.
         self.key_revocation_ms = key_revocation_ms
         self.draining = False
+        # When the process stops serving; later than any deadline until it drains.
+        self._stop_deadline_s = math.inf
         self.active_requests = 0
 
+    def start_draining(self, stop_deadline_s: float) -> None:
+        """Tells callers to leave; the process serves until `stop_deadline_s`."""
+        self.draining = True
+        self._stop_deadline_s = stop_deadline_s
+
     def _max_config_age_s(self) -> float:
         return self.key_revocation_ms / 1000 * CONFIG_AGE_SHARE
 
@@ -279,6 +290,8 @@
             events=EventSplitter(metadata.last_event_id),
             draining=self.draining,
         )
+        if call.deadline_s > self._stop_deadline_s:
+            raise Stopping(retry_after_s=STOPPING_RETRY_S)
         if _exceeds_engine_memory(call):
             raise UpstreamUnavailable("the request exceeds an engine's memory")
         if workspace is not None:
--- a/packages/gateway/src/damasksaddle_gateway/routing_config.py
+++ b/packages/gateway/src/damasksaddle_gateway/routing_config.py
@@ -186,6 +186,10 @@
                 return route
         return None
 
+    def longest_timeout_ms(self) -> float:
+        """Returns the longest timeout of a route, or 0 without routes."""
+        return max((route.timeout_ms for route in self.routes), default=0.0)
+
     def most_urgent_priority(self) -> int:
         """Returns the priority of the most urgent streaming routes."""
         return min(
--- a/packages/gateway/src/damasksaddle_gateway/version_splits.py
+++ b/packages/gateway/src/damasksaddle_gateway/version_splits.py
@@ -235,8 +235,8 @@
     def max_stream_s(self) -> float:
         """Returns how long after its beginning a stream may be continued."""
         config = self._config_watcher.config
-        timeouts_ms = [route.timeout_ms for route in config.routes] if config else []
-        return STREAM_REQUESTS * max(timeouts_ms, default=0.0) / 1000
+        longest_ms = config.longest_timeout_ms() if config is not None else 0.0
+        return STREAM_REQUESTS * longest_ms / 1000
 
     async def move_shard(self, service: str, key: str, version: str) -> None:
         """
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import aiohttp
+import logbook
 from aiohttp import web
 
 from damasksaddle.platform import Put
 from damasksaddle_gateway.gateway import Gateway
+from damasksaddle_gateway.grace import ADDRESS_RETENTION_FACTOR
 from damasksaddle_gateway.settings import Address
 from damasksaddle_platform.headers import PlatformHeaderCodec
 from damasksaddle_platform.records import RecordDecoder
@@ -18,6 +23,7 @@
 KEY = "k3fexd9dnn2"
 # Longer than the time after which a stop used to cut connections.
 WORK_S = 1.0
+TIMEOUT_MS = 3000
 CONFIG = {
     "Version": 1,
     "Routes": [
@@ -25,7 +31,7 @@
             "Host": "desk.example",
             "Prefix": "/file/",
             "Type": "non_idempotent",
-            "TimeoutMs": 3000,
+            "TimeoutMs": TIMEOUT_MS,
             "Service": "app",
         }
     ],
@@ -34,27 +40,31 @@
 }
 
 
-async def _work(request: web.BaseRequest) -> web.StreamResponse:
-    await asyncio.sleep(WORK_S)
+async def _respond(request: web.BaseRequest) -> web.StreamResponse:
+    await asyncio.sleep(float(request.headers["X-Work-S"]))
     return web.Response(body=b"filed", headers={"X-Server-Signature": "s1"})
 
 
-async def _file_report(session: aiohttp.ClientSession, url: str) -> tuple[int, bytes]:
+async def _file_report(
+    session: aiohttp.ClientSession, url: str, work_s: float = WORK_S
+) -> tuple[int, bytes]:
     headers = {
         "Host": "desk.example",
         "Authorization": f"Token {KEY}",
         "X-Request-Id": "r1",
-        "X-Deadline-Ms": "2500",
+        "X-Deadline-Ms": str(TIMEOUT_MS),
+        "X-Work-S": str(work_s),
     }
     async with session.post(url + "/file/x", headers=headers, data=b"{}") as response:
         return response.status, await response.read()
 
 
-async def test_a_request_accepted_at_the_end_of_a_stop_is_finished(
-    rows: VersionedRows, table: MemoryVersionedTable
-) -> None:
-    """Guards against cutting a request that arrives when nothing else is under way."""
-    runner, address = await start_server(_work)
+@asynccontextmanager
+async def running_gateway(
+    rows: VersionedRows, table: MemoryVersionedTable, **changes: object
+) -> AsyncIterator[Gateway]:
+    """Runs a gateway with one upstream, and waits until it is ready."""
+    runner, address = await start_server(_respond)
     rows.apply([Put("op//config", json.dumps(CONFIG))])
     server = {
         "Service": "app",
@@ -67,16 +77,29 @@
     }
     rows.apply([Put("servers//i-1", json.dumps(server))])
     host = Address("127.0.0.1", 0)
-    settings = make_settings(
-        caller_address=host, peer_address=host, address_ttl_s=0.1, grace_s=6.0
-    )
+    settings = make_settings(caller_address=host, peer_address=host, **changes)
     gateway = Gateway(settings, table, RecordDecoder(), PlatformHeaderCodec())
     await gateway.start()
     while not gateway.request_handler.is_ready():
         await asyncio.sleep(0.1)
-    caller_host, port = gateway._runners[0].addresses[0][:2]
-    url = f"http://{caller_host}:{port}"
-    async with aiohttp.ClientSession() as session:
+    yield gateway
+    await runner.cleanup()
+
+
+def _url(gateway: Gateway, listener: int = 0) -> str:
+    host, port = gateway._runners[listener].addresses[0][:2]
+    return f"http://{host}:{port}"
+
+
+async def test_a_request_accepted_at_the_end_of_a_stop_is_finished(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against cutting a request that arrives when nothing else is under way."""
+    async with (
+        running_gateway(rows, table, address_ttl_s=0.1, grace_s=6.0) as gateway,
+        aiohttp.ClientSession() as session,
+    ):
+        url = _url(gateway)
         assert await _file_report(session, url) == (200, b"filed")
         await gateway.drain()
         late = asyncio.create_task(_file_report(session, url))
@@ -84,4 +107,58 @@
             await asyncio.sleep(0.01)
         await gateway.stop()
         assert await late == (200, b"filed")
-    await runner.cleanup()
+
+
+async def _stop(gateway: Gateway) -> None:
+    await gateway.drain()
+    await gateway.stop()
+
+
+async def test_the_longest_request_to_the_oldest_address_is_finished(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against addresses that outlive the time in which a stop can serve them."""
+    async with (
+        running_gateway(rows, table, address_ttl_s=1.5, grace_s=7.0) as gateway,
+        aiohttp.ClientSession() as session,
+    ):
+        async with session.get(_url(gateway, listener=2) + "/resolve") as response:
+            ttl_s = (await response.json())["TtlS"]
+        stop = asyncio.create_task(_stop(gateway))
+        await asyncio.sleep(ttl_s * ADDRESS_RETENTION_FACTOR)
+        work_s = TIMEOUT_MS / 1000 - 0.1
+        assert await _file_report(session, _url(gateway), work_s) == (200, b"filed")
+        await stop
+
+
+async def test_a_request_that_a_stop_would_cut_is_refused_at_once(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against running a request whose response the end of the process cuts."""
+    async with (
+        running_gateway(rows, table, address_ttl_s=1.5, grace_s=6.0) as gateway,
+        aiohttp.ClientSession() as session,
+    ):
+        url = _url(gateway)
+        running = asyncio.create_task(_file_report(session, url, work_s=2.9))
+        await asyncio.sleep(2.5)
+        stop = asyncio.create_task(_stop(gateway))
+        assert await running == (200, b"filed")
+        await asyncio.sleep(2.5)
+        late = asyncio.create_task(_file_report(session, url, work_s=2.9))
+        assert await late == (503, b"stopping")
+        await stop
+
+
+async def test_a_grace_period_that_is_too_short_is_reported(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against settings that do not fit the routes and nobody notices."""
+    with logbook.TestHandler() as records:
+        async with running_gateway(rows, table, grace_s=8.0) as gateway:
+            assert not records.has_warnings
+            short = replace(gateway.settings, grace_s=4.0)
+            gateway.apply_settings(short)
+            text = "The grace period is too short for the longest route timeout."
+            assert records.has_warning(text)
+            await gateway.stop()
