Give the right to grant without the store to one VM in all views

Cause: the coordinator without the store was the first of this VM's own live VMs. Views of live VMs differ for two seconds around a loss or a return, and stay different in an outage, so two VMs granted the whole rate. Evidence: both log the confirmed outage, and the extra requests run all through it. Ruled out: permissions from before the suspension (only at its start) and an outage that one VM confirms alone (both had asked others).

The right now belongs to the first of the registered VMs, among which a lost VM stays for ten heartbeats. A VM holds no right until it has exchanged heartbeats for six intervals, nor if its view was outdated when the store went away. No message and no store call is added.

--- a/packages/gateway/src/damasksaddle_gateway/coordinators.py
+++ b/packages/gateway/src/damasksaddle_gateway/coordinators.py
@@ -4,7 +4,8 @@
 The coordinator is the first live VM in the rendezvous order of the name, so VMs usually
 agree on it without exchanging messages. Correctness does not depend on that: a
 coordinator acquires what it hands out from the store by compare-and-set, so if it does
-not respond, the next VM in the order may take its place.
+not respond, the next VM in the order may take its place. What is handed out while the
+store is unavailable needs a single holder; see `holds_offline_right`.
 """
 
 import math
@@ -58,17 +59,33 @@
         """Tells whether this VM is the coordinator for a name."""
         return rendezvous(name, self._membership.live_vms())[0] == self.vm
 
+    def holds_offline_right(self, name: str) -> bool:
+        """
+        Tells whether this VM alone may grant a rate or a budget without the store.
+
+        Live VMs differ between views for about two seconds after a VM was lost or came
+        back, and they cannot converge once the store is unavailable. The holder of the
+        right is therefore chosen from VMs on which all views agree.
+        """
+        return self._membership.is_settled() and self._offline_holder(name) == self.vm
+
+    def _offline_holder(self, name: str) -> str | None:
+        vms = self._membership.registered_vms()
+        return rendezvous(name, vms)[0] if vms else None
+
     def _candidates(self, name: str, needs_store: bool) -> list[str]:
         """
         Returns the VMs to try in order; recently failed VMs come last.
 
-        While a store that the coordinator needs is unavailable, only the coordinator
-        may act, so the order is unchanged.
+        While a store that the coordinator needs is unavailable, only the holder of the
+        right to grant offline may act, so it comes first.
         """
         now_s = boottime_s()
         order = rendezvous(name, self._membership.live_vms())
         if self._store.is_available() or not needs_store:
             order.sort(key=lambda vm: self._suspect_until_s.get(vm, -math.inf) > now_s)
+        elif (holder := self._offline_holder(name)) is not None:
+            order = [holder, *(vm for vm in order if vm != holder)]
         candidates = order[:MAX_CANDIDATES]
         if self.vm not in candidates:
             candidates[-1] = self.vm
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -102,7 +102,7 @@
 
         async def may_grant_offline(name: str) -> bool:
             return (
-                coordinators.is_coordinator(name)
+                coordinators.holds_offline_right(name)
                 and await self.outage_detector.confirm()
             )
 
--- a/packages/gateway/src/damasksaddle_gateway/membership.py
+++ b/packages/gateway/src/damasksaddle_gateway/membership.py
@@ -43,6 +43,15 @@
 # A VM is live if its counter changed within this many heartbeat intervals, so two
 # heartbeats may fail.
 DEAD_AFTER_HEARTBEATS = 2.6
+# A VM that was silent for longer than this loses the rights that it held, because the
+# others give up waiting for it `SILENT_HEARTBEATS` after they last saw it.
+MAX_GAP_HEARTBEATS = 8
+SILENT_HEARTBEATS = 10
+# It holds rights again after this time, by which all others have seen it.
+SETTLE_HEARTBEATS = 6
+# Maximum age of its view when the store became unavailable; a VM that joined later than
+# that is not settled itself.
+MAX_VIEW_AGE_HEARTBEATS = 4
 # Rows of VMs that have been dead for this time are removed.
 REMOVE_AFTER_S = 60.0
 # Long-poll time of one read of the change feed.
@@ -93,6 +102,8 @@
         # This VM is not listed to callers while it is not ready.
         self.is_ready: Callable[[], bool] = lambda: True
         self._last_read_s = -math.inf
+        # Since when this VM has read and written heartbeats without a long gap.
+        self._steady_since_s = math.inf
         self._feed = TableFeed(
             table, TABLE, PART, FEED_WAIT_S, self._on_snapshot, self._on_changes
         )
@@ -105,6 +116,37 @@
         """Returns the live VMs that are not leaving, including this one."""
         return [member.vm for member in self._live_members()] or [self.settings.vm]
 
+    def registered_vms(self) -> list[str]:
+        """
+        Returns the VMs that may hold rights for which all views have to agree.
+
+        VMs that were lost a short time ago are among them, so the views of a VM that
+        was away and of the others are the same.
+        """
+        max_silence_s = SILENT_HEARTBEATS * self._longest_interval_s
+        return [
+            member.vm
+            for member in self._members.values()
+            if not member.leaving
+            and self._last_read_s - member.last_seen_s < max_silence_s
+        ]
+
+    def is_settled(self) -> bool:
+        """
+        Tells whether this VM may hold a right that only one VM has at a time.
+
+        It may not if it has just started or returned, since others may not have seen
+        it yet, or if its view was outdated when the store became unavailable.
+        """
+        interval_s = self._longest_interval_s
+        view_age_s = self._table.unavailable_since_s() - self._last_read_s
+        return (
+            not self._leaving
+            and view_age_s <= MAX_VIEW_AGE_HEARTBEATS * interval_s
+            and self._last_read_s - self._steady_since_s
+            >= SETTLE_HEARTBEATS * interval_s
+        )
+
     def peer_address(self, vm: str) -> str | None:
         """
         Returns the address on which a VM accepts peer connections, or None if unknown.
@@ -258,6 +300,7 @@
         except PlatformError as error:
             log.debug("Could not read the heartbeats.", error=repr(error))
             return
+        self._update_steady_time(requested_s)
         if requested_s - self._last_read_s > self._dead_after_s():
             # No VM could write heartbeats while the table was unavailable.
             for member in self._members.values():
@@ -267,6 +310,17 @@
         self._live_cache = None
         await self._remove_dead(requested_s)
 
+    def _update_steady_time(self, now_s: float) -> None:
+        own = self._members.get(self.settings.vm)
+        max_gap_s = MAX_GAP_HEARTBEATS * self._longest_interval_s
+        if (
+            own is None
+            or math.isinf(self._steady_since_s)
+            or now_s - own.last_seen_s > max_gap_s
+            or now_s - self._last_read_s > max_gap_s
+        ):
+            self._steady_since_s = now_s
+
     def _record_heartbeats(self, rows: list[Row], now_s: float) -> None:
         for row in rows:
             member = self._members.get(row.name)
--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -107,6 +107,10 @@
         """Tells whether the store is considered available."""
         return self._failures < FAILURE_THRESHOLD
 
+    def unavailable_since_s(self) -> float:
+        """Returns when the store became unavailable, or now if it is available."""
+        return boottime_s() if self.is_available() else self._unavailable_since_s
+
     def silence_s(self) -> float:
         """Returns the time since the store last responded."""
         return boottime_s() - self._last_answer_s
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -195,7 +195,11 @@
 
 
 def _stub_membership(*vms: str, known: bool = True) -> Any:
-    return SimpleNamespace(live_vms=lambda: list(vms), is_loaded=lambda: known)
+    return SimpleNamespace(
+        live_vms=lambda: list(vms),
+        registered_vms=lambda: list(vms),
+        is_loaded=lambda: known,
+    )
 
 
 async def _confirm_outage(
--- /dev/null
+++ b/tests/gateway/test_offline_rights.py
@@ -0,0 +1,123 @@
+"""Which VM may grant rates and budgets while the store is unavailable."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from dataclasses import dataclass
+
+import pytest
+
+from damasksaddle.exceptions import TableUnavailable
+from damasksaddle_gateway.coordinators import Coordinators
+from damasksaddle_gateway.membership import Membership
+from damasksaddle_gateway.settings import Address
+from damasksaddle_gateway.store import StoreCircuitBreaker
+from damasksaddle_standins.versioned_table import MemoryVersionedTable, VersionedRows
+from tests.gateway.conftest import make_settings
+from tests.gateway.test_fleet import StubPeers
+
+pytestmark = pytest.mark.looptime
+
+NAMES = [f"workspace-{number}" for number in range(60)]
+POLL_S = 0.3
+
+
+@dataclass
+class Vm:
+    """A VM's view of the fleet."""
+
+    name: str
+    table: MemoryVersionedTable
+    membership: Membership
+    coordinators: Coordinators
+
+
+async def _poll(breaker: StoreCircuitBreaker) -> None:
+    """Reads like the configuration's watcher does, so that an outage is noticed."""
+    while True:
+        with suppress(TableUnavailable):
+            await breaker.page("servers//")
+        await asyncio.sleep(POLL_S)
+
+
+@asynccontextmanager
+async def running_vm(rows: VersionedRows, name: str) -> AsyncIterator[Vm]:
+    table = MemoryVersionedTable(rows)
+    breaker = StoreCircuitBreaker(table)
+    address = Address(name, 80)
+    settings = make_settings(name, caller_address=address, peer_address=address)
+    async with Membership(breaker, settings) as membership:
+        poll = asyncio.create_task(_poll(breaker))
+        coordinators = Coordinators(name, breaker, membership, StubPeers({}))  # type: ignore[arg-type]
+        yield Vm(name, table, membership, coordinators)
+        poll.cancel()
+
+
+@asynccontextmanager
+async def running_fleet(rows: VersionedRows, size: int) -> AsyncIterator[list[Vm]]:
+    async with AsyncExitStack() as stack:
+        vms = [
+            await stack.enter_async_context(running_vm(rows, f"vm-{number}"))
+            for number in range(size)
+        ]
+        await asyncio.sleep(12)
+        yield vms
+
+
+async def _holders_in_outage(vms: list[Vm]) -> dict[str, list[str]]:
+    """Takes the store down for all VMs; returns who may grant each name."""
+    for vm in vms:
+        vm.table.down = True
+    await asyncio.sleep(1.5)
+    return {
+        name: [vm.name for vm in vms if vm.coordinators.holds_offline_right(name)]
+        for name in NAMES
+    }
+
+
+@pytest.mark.parametrize("woken_s", [0.05, 0.3, 0.5, 0.8, 1.0, 1.5, 2.5])
+@pytest.mark.parametrize("away_s", [3.0, 4.0, 7.0, 12.0])
+async def test_a_vm_that_returns_before_an_outage_shares_no_right(
+    rows: VersionedRows, away_s: float, woken_s: float
+) -> None:
+    """Guards against a woken VM and the one in its place that grant one rate twice."""
+    async with running_fleet(rows, 4) as vms:
+        vms[0].table.down = True
+        await asyncio.sleep(away_s)
+        vms[0].table.down = False
+        await asyncio.sleep(woken_s)
+        holders = await _holders_in_outage(vms)
+    assert max(len(vms) for vms in holders.values()) <= 1
+
+
+@pytest.mark.parametrize("joined_s", [0.02, 0.5, 1.2, 3.0, 5.0, 6.5, 9.0])
+async def test_a_vm_that_joins_before_an_outage_shares_no_right(
+    rows: VersionedRows, joined_s: float
+) -> None:
+    """Guards against a new VM and the one in its place that grant one rate twice."""
+    async with running_fleet(rows, 3) as vms:
+        frozen = vms[0]
+        frozen.table.down = True
+        await asyncio.sleep(max(0.0, 3.5 - joined_s))
+        async with running_vm(rows, "vm-new") as new:
+            await asyncio.sleep(joined_s)
+            frozen.table.down = False
+            await asyncio.sleep(0.05)
+            holders = await _holders_in_outage([*vms, new])
+    assert max(len(vms) for vms in holders.values()) <= 1
+
+
+async def test_each_right_has_a_holder_in_a_calm_fleet(rows: VersionedRows) -> None:
+    """Guards against refusing requests in each outage."""
+    async with running_fleet(rows, 4) as vms:
+        holders = await _holders_in_outage(vms)
+    assert {len(vms) for vms in holders.values()} == {1}
+
+
+async def test_the_rights_of_a_lost_vm_pass_on(rows: VersionedRows) -> None:
+    """Guards against a workspace that no VM serves in outages since one was lost."""
+    async with running_fleet(rows, 4) as vms:
+        vms[0].table.down = True
+        await asyncio.sleep(25)
+        holders = await _holders_in_outage(vms[1:])
+    assert {len(vms) for vms in holders.values()} == {1}
