Limit the level from which an outage is served to the unused overrun

The level at the start of an outage is limited to the part of the permitted overrun that drawn tokens do not use (21 requests here), so that the rate holds without the subtraction. Within an outage the level refills as before. The test failed before.

--- a/packages/gateway/src/damasksaddle_gateway/token_buckets.py
+++ b/packages/gateway/src/damasksaddle_gateway/token_buckets.py
@@ -7,8 +7,10 @@
 drawn before it began, and the lifetime is chosen so that these fit the permitted
 overrun.
 
-While the store is unavailable to all VMs, `may_grant_offline` lets the coordinator hand
-out tokens from the last known level. They are subtracted from the row afterwards.
+While the store is unavailable to all VMs, `may_grant_offline` lets one VM hand out
+tokens from the last known level. They are subtracted from the row afterwards, unless
+that VM is lost. The level at the start of an outage is therefore limited to what the
+permitted overrun leaves, so that the rate holds without the subtraction too.
 
 Requests wait in a `RateQueue` while the bucket is empty, as long as their callers do. A
 request that cannot be served in that time is refused at once. The first turn of a
@@ -68,10 +70,15 @@
 ASK_AGAIN_S = 0.0
 
 
+def max_overrun(workspace: Workspace, settings: GatewaySettings) -> float:
+    """Returns by how many requests a window may exceed the rate."""
+    window = settings.rate_window_s * workspace.rate_per_s + workspace.burst
+    return settings.rate_overrun * window + settings.rate_slack
+
+
 def token_lifetime_s(workspace: Workspace, settings: GatewaySettings) -> float:
     """Returns how long drawn tokens are valid on all VMs that hold them."""
-    window = settings.rate_window_s * workspace.rate_per_s + workspace.burst
-    overrun = settings.rate_overrun * window + settings.rate_slack
+    overrun = max_overrun(workspace, settings)
     return min(MAX_TOKEN_LIFETIME_S, OVERRUN_SHARE * overrun / workspace.rate_per_s)
 
 
@@ -134,6 +141,8 @@
     last_turn_s: dict[str, float] = field(default_factory=dict)
     # Tokens granted without the store, which the next draw subtracts from the row.
     offline_tokens: float = 0.0
+    # Set from the first grant without the store until the next draw.
+    offline: bool = False
 
     def is_running(self, program: str) -> bool:
         """Tells whether this VM admitted a turn of the program recently."""
@@ -326,9 +335,7 @@
         except StoreUnavailable:
             if not await self._may_grant_offline(workspace.name):
                 raise
-        if math.isinf(bucket.level):
-            bucket.level, bucket.level_updated_s = 0.0, boottime_s()
-        level = bucket.current_level(workspace)
+        level = self._offline_level(bucket, workspace)
         granted = float(
             max(0, math.floor(min(level, self._draw_size(bucket, workspace))))
         )
@@ -339,6 +346,16 @@
         self._make_available(bucket, workspace, granted)
         return 0.0
 
+    def _offline_level(self, bucket: _Bucket, workspace: Workspace) -> float:
+        if math.isinf(bucket.level):
+            bucket.level, bucket.level_updated_s = 0.0, boottime_s()
+        level = bucket.current_level(workspace)
+        if bucket.offline:
+            return level
+        bucket.offline = True
+        unused_overrun = (1 - OVERRUN_SHARE) * max_overrun(workspace, self.settings)
+        return min(level, unused_overrun)
+
     def _draw_size(self, bucket: _Bucket, workspace: Workspace) -> int:
         # Requests that arrive while a slow store handles the draw are covered by it.
         prefetch_s = self._table.latency.extra_write_s() + (
@@ -424,6 +441,7 @@
             ) from error
         bucket.level, bucket.level_updated_s = remaining, boottime_s()
         bucket.offline_tokens -= offline_tokens
+        bucket.offline = False
         count(Counter.RATE_TOKENS, "drawn", int(granted))
         count(Counter.RATE_TOKENS, "returned", int(unused))
         if not granted:
--- a/tests/gateway/test_token_buckets.py
+++ b/tests/gateway/test_token_buckets.py
@@ -151,3 +151,34 @@
     in_outage_s = [t for t in admitted_at_s if 6 < t < 11]
     assert len(in_outage_s) >= 0.8 * 5 * WORKSPACE.rate_per_s
     assert loop.time() >= 20
+
+
+async def test_grants_of_a_coordinator_lost_in_an_outage_fit_the_overrun(
+    rows: VersionedRows,
+) -> None:
+    """Guards against a second full burst after a coordinator was lost."""
+    workspace = Workspace("ngo", rate_per_s=84.0, burst=84.0)
+    admitted_at_s: list[float] = []
+    loop = asyncio.get_running_loop()
+
+    async def take(buckets: TokenBuckets, end_s: float) -> None:
+        while loop.time() < end_s:
+            with suppress(RateExceeded, StoreUnavailable):
+                await buckets.take(workspace, 1, 0.0)
+                admitted_at_s.append(loop.time())
+            await asyncio.sleep(0.004)
+
+    table = MemoryVersionedTable(rows)
+    breaker = StoreCircuitBreaker(table)
+    lost = TokenBuckets(breaker, make_settings(), allow_offline_grants)
+    # One request, so that the VM knows a full bucket.
+    await lost.take(workspace, 1, 0.0)
+    await asyncio.sleep(2)
+    table.down = True
+    await take(lost, loop.time() + 3)
+    table.down = False
+    await breaker.page("servers//")
+    next_buckets = TokenBuckets(breaker, make_settings(), deny_offline_grants)
+    await take(next_buckets, loop.time() + 4)
+    window = WINDOW_S * workspace.rate_per_s + workspace.burst
+    assert _max_per_window(admitted_at_s) <= window * 1.1 + 20
