--- a/packages/gateway/src/damasksaddle_gateway/outage_detector.py
+++ b/packages/gateway/src/damasksaddle_gateway/outage_detector.py
@@ -81,7 +81,9 @@
             await asyncio.sleep(POLL_S)
 
     async def _ask_peers(self) -> None:
-        others = [vm for vm in self._membership.live_vms() if vm != self._vm]
+        # A VM that does not respond may have started again and reach the store.
+        registered = {*self._membership.registered_vms(), *self._membership.live_vms()}
+        others = sorted(registered - {self._vm})
         if not self._membership.is_loaded():
             # A process that has just started does not know any other VM to ask.
             return
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -236,6 +236,15 @@
     assert await _confirm_outage(table, membership, responses) is confirmed
 
 
+async def test_lost_vms_do_not_confirm_an_outage(
+    table: MemoryVersionedTable,
+) -> None:
+    """Guards against an outage that a VM confirms alone after the others were lost."""
+    membership = _stub_membership("vm-a", "vm-b", "vm-c")
+    membership.live_vms = lambda: ["vm-a"]
+    assert not await _confirm_outage(table, membership, {})
+
+
 async def test_a_new_process_confirms_no_outage(
     table: MemoryVersionedTable,
 ) -> None:
