Let only the process that created a program's row grant beyond it

Cause: in an outage a coordinator grants one turn beyond the row, which is lost with its process; each outage with a lost coordinator adds one. Ruled out: drawn tokens that do not count, and two coordinators in one outage.

A row names the process that created it, and only that process grants beyond it. Without a row, a process grants a first turn only if it would have noticed an outage within the last minute, or is one of the first of the fleet. No message and no store call is added.

--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -8,13 +8,16 @@
 
 While the store is unavailable to all VMs, `may_grant_offline` lets the program's
 coordinator grant more tokens than it acquired, within the budget and never more than
-one turn. If the coordinator is lost as well, the program exceeds its budget by at most
-one turn. The coordinator must have read the row or know that the program has just
-started. Offline grants are written to the row once the store is available again.
+one turn. These offline grants are written to the row once the store is available again;
+they are lost with the process. So that a program exceeds its budget by one turn at most
+over all outages, only the process that created the row may grant offline. Before there
+is a row, a process may do so for a program that has just started, if it would have
+noticed any earlier outage in which another one might have done the same.
 """
 
 import asyncio
 import json
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
@@ -31,7 +34,14 @@
     WriteConflict,
 )
 from damasksaddle.platform import Put, Row, row_key
-from damasksaddle.utils import Counter, boottime_s, count, get_logger, partition_of
+from damasksaddle.utils import (
+    Counter,
+    boottime_s,
+    count,
+    get_logger,
+    new_id,
+    partition_of,
+)
 from damasksaddle_gateway.background import background_task
 from damasksaddle_gateway.rows import CachedRow, update_row
 from damasksaddle_gateway.store import StoreCircuitBreaker
@@ -39,6 +49,8 @@
 log = get_logger("budgets")
 
 TABLE = "budgets"
+# Field of a row that names the process which may grant beyond the row.
+OVERDRAWER = "overdrawer"
 # Number of table partitions that the rows are spread over. Each partition processes one
 # write at a time.
 TABLE_PARTS = 32
@@ -57,6 +69,8 @@
 # Poll interval of a program that waits for other VMs to settle.
 SETTLE_POLL_S = 0.2
 STORE_RETRY_S = 0.5
+# A program returns within this time of its last turn, or has ended.
+MAX_PROGRAM_PAUSE_S = 60.0
 # Rows without changes for this time are removed. A stopped program may resume within a
 # minute, and its last turn takes seconds.
 ROW_RETENTION_S = 600.0
@@ -126,6 +140,7 @@
         settle_s: float,
         may_grant_offline: Callable[[str], Awaitable[bool]],
         cleans_up_part: Callable[[str], bool] = lambda part: True,
+        calm_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         super().__init__()
         self._table = table
@@ -133,6 +148,10 @@
         self._may_grant_offline = may_grant_offline
         # Tells which table partitions this VM cleans up.
         self._cleans_up_part = cleans_up_part
+        # For how long this VM would have noticed an outage, and did not.
+        self._calm_s = calm_s
+        # Identifies this process in the rows that it creates.
+        self._process = new_id("gw")
         self._accounts: OrderedDict[str, TokenAccount] = OrderedDict()
         self._return_tasks: set[asyncio.Task[None]] = set()
 
@@ -263,7 +282,7 @@
         """Returns the tokens granted without the store, or 0 if too few are left."""
         if not await self._may_grant_offline(account.name):
             return 0
-        if account.row.value is None and not account.may_be_first_turn:
+        if account.row.value is None and not self._is_new_program(account):
             log.info(
                 "No offline grant: the budget may have been granted elsewhere.",
                 program=account.name,
@@ -271,6 +290,8 @@
             return 0
         granted = self._granted(account) + account.offline_granted
         extra = min(max_turn_tokens - account.offline_granted, budget - granted)
+        if not self._may_overdraw(account):
+            extra = min(extra, 0)
         tokens = min(max_turn_tokens, account.available + extra)
         if tokens < max_turn_tokens * MIN_TURN_SHARE:
             log.info(
@@ -280,6 +301,7 @@
                 granted=granted,
                 held=account.available,
                 overdraft=account.offline_granted,
+                may_overdraw=self._may_overdraw(account),
                 turns=account.open_turns,
             )
             return 0
@@ -294,6 +316,21 @@
         )
         return tokens
 
+    def _is_new_program(self, account: TokenAccount) -> bool:
+        """Tells whether no other VM can have granted tokens of the program."""
+        return account.may_be_first_turn and self._calm_s() >= MAX_PROGRAM_PAUSE_S
+
+    def _may_overdraw(self, account: TokenAccount) -> bool:
+        """Tells whether a loss of this process would be the program's first one."""
+        value = account.row.value
+        return value is None or value.get(OVERDRAWER) == self._process
+
+    def _overdrawer(self, account: TokenAccount, value: dict[str, Any] | None) -> str:
+        """Returns the process that may grant offline, or an empty string for none."""
+        if value is not None:
+            return str(value.get(OVERDRAWER, ""))
+        return self._process if self._is_new_program(account) else ""
+
     async def _take_block(
         self, account: TokenAccount, budget: int, max_turn_tokens: int
     ) -> None:
@@ -323,6 +360,7 @@
             return {
                 "granted": granted + offline_granted + requested,
                 "spent": spent + unrecorded_spent,
+                OVERDRAWER: self._overdrawer(account, value),
                 "at_ms": self._table.clock.now_ms(),
             }
 
@@ -385,6 +423,7 @@
                 return {
                     "granted": granted + offline_granted - unused,
                     "spent": spent + unrecorded_spent,
+                    OVERDRAWER: self._overdrawer(account, value),
                     "at_ms": self._table.clock.now_ms(),
                 }
 
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -119,6 +119,7 @@
             settings.settle_ms / 1000,
             may_grant_offline,
             lambda part: coordinators.is_coordinator(f"{BUDGETS_TABLE}/{part}"),
+            self._calm_s,
         )
         self.turns = TurnBudgets(settings.vm, self.budgets, coordinators, self.peers)
         self.placement = Placement()
@@ -156,6 +157,13 @@
         self._runners: list[web.ServerRunner] = []
         self._stop_deadline_s = -math.inf
 
+    def _calm_s(self) -> float:
+        """Returns for how long there was no outage before the current one, if any."""
+        since_s = max(self.membership.steady_since_s(), self.store.available_since_s)
+        if self.peers.is_founding(since_s):
+            return math.inf
+        return self.store.unavailable_since_s() - since_s
+
     def _longest_request_s(self) -> float:
         config = self.config_watcher.config
         return config.longest_timeout_ms() / 1000 if config is not None else 0.0
--- a/packages/gateway/src/damasksaddle_gateway/membership.py
+++ b/packages/gateway/src/damasksaddle_gateway/membership.py
@@ -147,6 +147,10 @@
             >= SETTLE_HEARTBEATS * interval_s
         )
 
+    def steady_since_s(self) -> float:
+        """Returns since when this VM has followed the store without a long gap."""
+        return self._steady_since_s
+
     def peer_address(self, vm: str) -> str | None:
         """
         Returns the address on which a VM accepts peer connections, or None if unknown.
--- a/packages/gateway/src/damasksaddle_gateway/peers.py
+++ b/packages/gateway/src/damasksaddle_gateway/peers.py
@@ -15,7 +15,7 @@
 
 from damasksaddle.exceptions import PeerTimeout, ResponseLost, TableUnavailable
 from damasksaddle.platform import row_key
-from damasksaddle.utils import get_logger
+from damasksaddle.utils import boottime_s, get_logger
 from damasksaddle_gateway.background import background_task
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.rows import CachedRow, update_row
@@ -31,6 +31,8 @@
 # A peer in another failure domain accepts a connection within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.3
 RETRY_S = 0.3
+# The first VMs of a fleet start within this time.
+MAX_FOUNDING_S = 15.0
 # Upper bound of a random delay: long compared to a write, short compared to a start.
 SECRET_CREATION_JITTER_S = 0.3
 
@@ -56,6 +58,16 @@
         self._settings = settings
         self._pool: PeerPool | None = None
         self._server: PeerServer | None = None
+        # When the first VM of the fleet started, on the store's clock.
+        self._fleet_created_ms: float | None = None
+
+    def is_founding(self, since_s: float) -> bool:
+        """Tells whether the fleet was created about when this VM began to follow it."""
+        now_ms = self._table.clock.now_ms()
+        if self._fleet_created_ms is None or not now_ms:
+            return False
+        fleet_age_s = (now_ms - self._fleet_created_ms) / 1000
+        return fleet_age_s - (boottime_s() - since_s) < MAX_FOUNDING_S
 
     async def request(self, vm: str, message: Message, timeout_s: float) -> Message:
         """Returns a peer's response; raises `PeerError` or the peer's `Refusal`."""
@@ -108,22 +120,23 @@
             # before the others try to.
             await asyncio.sleep(random.uniform(0, SECRET_CREATION_JITTER_S))
             row = await self._table.row(key)
-        if row is not None:
-            return str(json.loads(row.value)["secret"])
-        return await self._create_secret(key)
+        value = await self._create_secret(key) if row is None else json.loads(row.value)
+        self._fleet_created_ms = value.get("created_ms")
+        return str(value["secret"])
 
-    async def _create_secret(self, key: str) -> str:
-        secret = secrets.token_hex(SECRET_BYTES)
+    async def _create_secret(self, key: str) -> dict[str, Any]:
+        created = {
+            "secret": secrets.token_hex(SECRET_BYTES),
+            "created_ms": self._table.clock.now_ms() or None,
+        }
 
         def update(value: dict[str, Any] | None) -> dict[str, Any] | None:
-            nonlocal secret
-            if value is not None:
-                secret = value["secret"]
-                return None
-            return {"secret": secret}
-
-        await update_row(self._table, CachedRow(key), update)
-        return secret
+            return created if value is None else None
+
+        cached = CachedRow(key)
+        await update_row(self._table, cached, update)
+        assert cached.value is not None
+        return cached.value
 
     async def on_stop(self) -> None:
         if self._server is not None:
--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -88,6 +88,8 @@
         self._table = table
         self._failures = 0
         self._unavailable_since_s = 0.0
+        # When the last outage ended.
+        self.available_since_s = -math.inf
         self._last_answer_s = -math.inf
         self._last_success_s = -math.inf
         self._was_slow = False
@@ -248,6 +250,7 @@
             unavailable_s = round(boottime_s() - self._unavailable_since_s, 3)
             log.info("The store is available again.", away_s=unavailable_s)
             self.unavailable.clear()
+            self.available_since_s = boottime_s()
         self._failures = 0
         self._last_answer_s = self._last_success_s = boottime_s()
 
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import pytest
 
@@ -294,3 +295,58 @@
         await remaining_vm.reserve(
             "ngo", "p", 40 * MAX_TURN_TOKENS, MAX_TURN_TOKENS, 0.0
         )
+
+
+def _new_process(breaker: StoreCircuitBreaker, calm_s: float) -> Budgets:
+    return Budgets(breaker, 1.0, allow_offline_grants, calm_s=lambda: calm_s)
+
+
+async def test_the_process_that_created_the_row_grants_offline_again(
+    table: MemoryVersionedTable,
+) -> None:
+    """Guards against refusing all programs in the second outage."""
+    breaker = StoreCircuitBreaker(table)
+    budgets = _new_process(breaker, 3600.0)
+    for _ in range(2):
+        budgets.settle(await _reserve(budgets), 0)
+        await asyncio.sleep(1)
+        table.down = True
+        budgets.settle(await _reserve(budgets), 0)
+        table.down = False
+        await breaker.page("servers//")
+        await asyncio.sleep(1)
+
+
+async def _play_outages(
+    rows: VersionedRows, turns_between: int, first_calm_s: float
+) -> int:
+    """
+    Plays a program over outages, in each of which its coordinator is lost.
+
+    Returns the tokens that the program got.
+    """
+    handed = 0
+    for number in range(12):
+        table = MemoryVersionedTable(rows)
+        breaker = StoreCircuitBreaker(table)
+        budgets = _new_process(breaker, 1.0 if number else first_calm_s)
+        try:
+            for _ in range(turns_between):
+                handed += (await _reserve(budgets)).tokens
+        except BudgetExceeded:
+            pass
+        table.down = True
+        with suppress(StoreUnavailable):
+            while True:
+                handed += (await _reserve(budgets)).tokens
+    return handed
+
+
+@pytest.mark.parametrize("first_calm_s", [1.0, 3600.0])
+@pytest.mark.parametrize("turns_between", [0, 1, 2])
+async def test_outages_with_lost_coordinators_exceed_a_budget_by_one_turn_at_most(
+    rows: VersionedRows, turns_between: int, first_calm_s: float
+) -> None:
+    """Guards against a turn beyond the budget in each outage that loses a VM."""
+    handed = await _play_outages(rows, turns_between, first_calm_s)
+    assert handed <= BUDGET + MAX_TURN_TOKENS
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -10,7 +10,7 @@
 
 from damasksaddle.exceptions import PeerUnreachable, StoreUnavailable
 from damasksaddle.platform import Put
-from damasksaddle.utils import rendezvous
+from damasksaddle.utils import boottime_s, rendezvous
 from damasksaddle_gateway.coordinators import Coordinators
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.outage_detector import OutageDetector
@@ -343,6 +343,21 @@
     assert responder == first
 
 
+async def test_the_first_vms_of_a_fleet_know_that_there_was_no_outage(
+    rows: VersionedRows,
+) -> None:
+    """Guards against a restarted VM that takes itself for one of the first."""
+    for started_s, founding in ((2.0, True), (60.0, False)):
+        breaker = StoreCircuitBreaker(MemoryVersionedTable(rows))
+        await asyncio.sleep(started_s)
+        since_s = boottime_s()
+        await breaker.page("servers//")
+        peers = Peers(breaker, _stub_membership("vm-a"), make_settings("vm-a"))
+        await peers._load_secret()
+        await asyncio.sleep(30)
+        assert peers.is_founding(since_s) is founding
+
+
 async def test_vms_that_start_together_agree_on_one_secret(
     rows: VersionedRows,
 ) -> None:
