Deliver a change that comes at the end of a wait in the stand-in's feed

A play of rolling stops had a VM that served version 3 of the configuration for 4 s after version 6, and called it verified. The stand-in's feed waited for a change and for its time at once; if both came in one turn of the loop, it reported the new version without the change. The product was not at fault: the protocol says that a reader continues from that version. The test failed before.

--- a/packages/standins/src/damasksaddle_standins/versioned_table.py
+++ b/packages/standins/src/damasksaddle_standins/versioned_table.py
@@ -135,24 +135,26 @@
         self._check_not_compacted(table, after_version)
         loop = asyncio.get_running_loop()
         end_s = loop.time() + wait_s
-        while loop.time() < end_s:
-            rows = [
-                row
-                for row in self._rows.history
-                if row.version > after_version and row.key.startswith(f"{table}/")
-            ]
-            if rows and not self.hide_changes:
-                return self._page(rows)
+        while self.hide_changes or not self._changed_rows(table, after_version):
             try:
-                async with asyncio.timeout(end_s - loop.time()):
+                async with asyncio.timeout_at(end_s):
                     await self._rows.changed.wait()
             except TimeoutError:
                 break
             self._check_not_compacted(table, after_version)
         if self.down:
             raise TableUnavailable("the table is down")
-        page = self._page([])
-        return replace(page, version=after_version) if self.hide_changes else page
+        if self.hide_changes:
+            return replace(self._page([]), version=after_version)
+        # A change may have come together with the end of the wait.
+        return self._page(self._changed_rows(table, after_version))
+
+    def _changed_rows(self, table: str, after_version: int) -> list[Row]:
+        return [
+            row
+            for row in self._rows.history
+            if row.version > after_version and row.key.startswith(f"{table}/")
+        ]
 
     def _check_not_compacted(self, table: str, after_version: int) -> None:
         if after_version < self._rows.compacted_version:
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -84,3 +84,15 @@
     assert replica.snapshot_count >= 2
     assert replica.values == {key: row.value for key, row in rows.rows.items()}
     follow_task.cancel()
+
+
+async def test_a_change_at_the_end_of_a_wait_is_delivered(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against a stand-in that skips a change and reports its version."""
+    loop = asyncio.get_running_loop()
+    wait = asyncio.create_task(table.changes("vms", 0, 0.5))
+    await asyncio.sleep(0.01)
+    loop.call_at(loop.time() + 0.494, rows.apply, [Put("vms/vms/a", "1")])
+    page = await wait
+    assert page.version == len(page.rows)
