Judge the age of a view by when the outage began for the last VM

A play of test_offline_rights had two holders of one right: a VM lost the store 9 s before the others, and a VM joined meanwhile that it could not see. Its view was judged by when it had lost the store itself. VMs that confirm an outage now say for how long the store was silent to them, in a reply that they send anyway, and the shortest silence counts; an older build counts as 0, on the safe side.

A VM holds rights after four heartbeats in place of six, the maximum age of a view: all valid views contain it by then.

--- a/packages/gateway/src/damasksaddle_gateway/coordinators.py
+++ b/packages/gateway/src/damasksaddle_gateway/coordinators.py
@@ -5,7 +5,7 @@
 agree on it without exchanging messages. Correctness does not depend on that: a
 coordinator acquires what it hands out from the store by compare-and-set, so if it does
 not respond, the next VM in the order may take its place. What is handed out while the
-store is unavailable needs a single holder; see `holds_offline_right`.
+store is unavailable needs a single holder; see `is_offline_holder`.
 """
 
 import math
@@ -59,15 +59,17 @@
         """Tells whether this VM is the coordinator for a name."""
         return rendezvous(name, self._membership.live_vms())[0] == self.vm
 
-    def holds_offline_right(self, name: str) -> bool:
+    def is_offline_holder(self, name: str) -> bool:
         """
-        Tells whether this VM alone may grant a rate or a budget without the store.
+        Tells whether this VM is the one to grant a rate or a budget without the store.
+
+        It may do so if it is settled; see `Membership.is_settled`.
 
         Live VMs differ between views for about two seconds after a VM was lost or came
         back, and they cannot converge once the store is unavailable. The holder of the
         right is therefore chosen from VMs on which all views agree.
         """
-        return self._membership.is_settled() and self._offline_holder(name) == self.vm
+        return self._offline_holder(name) == self.vm
 
     def _offline_holder(self, name: str) -> str | None:
         vms = self._membership.registered_vms()
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -102,8 +102,9 @@
 
         async def may_grant_offline(name: str) -> bool:
             return (
-                coordinators.holds_offline_right(name)
+                coordinators.is_offline_holder(name)
                 and await self.outage_detector.confirm()
+                and self.membership.is_settled(self.outage_detector.began_s)
             )
 
         self.token_buckets = TokenBuckets(table, settings, may_grant_offline)
--- a/packages/gateway/src/damasksaddle_gateway/membership.py
+++ b/packages/gateway/src/damasksaddle_gateway/membership.py
@@ -47,11 +47,9 @@
 # others give up waiting for it `SILENT_HEARTBEATS` after they last saw it.
 MAX_GAP_HEARTBEATS = 8
 SILENT_HEARTBEATS = 10
-# It holds rights again after this time, by which all others have seen it.
-SETTLE_HEARTBEATS = 6
-# Maximum age of its view when the store became unavailable; a VM that joined later than
-# that is not settled itself.
-MAX_VIEW_AGE_HEARTBEATS = 4
+# Maximum age of a VM's view when the store became unavailable to the last VM. A VM that
+# joined or returned holds rights after the same time, so all valid views contain it.
+SETTLE_HEARTBEATS = 4
 # Rows of VMs that have been dead for this time are removed.
 REMOVE_AFTER_S = 60.0
 # Long-poll time of one read of the change feed.
@@ -104,6 +102,8 @@
         self._last_read_s = -math.inf
         # Since when this VM has read and written heartbeats without a long gap.
         self._steady_since_s = math.inf
+        # Versions of the heartbeats of VMs without a row.
+        self._unknown_heartbeats: dict[str, int] = {}
         self._feed = TableFeed(
             table, TABLE, PART, FEED_WAIT_S, self._on_snapshot, self._on_changes
         )
@@ -131,18 +131,18 @@
             and self._last_read_s - member.last_seen_s < max_silence_s
         ]
 
-    def is_settled(self) -> bool:
+    def is_settled(self, outage_began_s: float) -> bool:
         """
         Tells whether this VM may hold a right that only one VM has at a time.
 
         It may not if it has just started or returned, since others may not have seen
-        it yet, or if its view was outdated when the store became unavailable.
+        it yet, or if its view was outdated when the outage began for the last VM.
         """
         interval_s = self._longest_interval_s
-        view_age_s = self._table.unavailable_since_s() - self._last_read_s
+        view_age_s = outage_began_s - self._last_read_s
         return (
             not self._leaving
-            and view_age_s <= MAX_VIEW_AGE_HEARTBEATS * interval_s
+            and view_age_s <= SETTLE_HEARTBEATS * interval_s
             and self._last_read_s - self._steady_since_s
             >= SETTLE_HEARTBEATS * interval_s
         )
@@ -304,7 +304,7 @@
         except PlatformError as error:
             log.debug("Could not read the heartbeats.", error=repr(error))
             return
-        self._update_steady_time(requested_s)
+        self._update_steady_time(page.rows, requested_s)
         if requested_s - self._last_read_s > self._dead_after_s():
             # No VM could write heartbeats while the table was unavailable.
             for member in self._members.values():
@@ -314,11 +314,21 @@
         self._live_cache = None
         await self._remove_dead(requested_s)
 
-    def _update_steady_time(self, now_s: float) -> None:
+    def _update_steady_time(self, heartbeats: list[Row], now_s: float) -> None:
         own = self._members.get(self.settings.vm)
         max_gap_s = MAX_GAP_HEARTBEATS * self._longest_interval_s
+        unknown = {
+            row.name: row.version for row in heartbeats if row.name not in self._members
+        }
+        # The feed lags if a VM sends heartbeats and its row has not been delivered.
+        missed_rows = any(
+            self._unknown_heartbeats.get(vm, version) != version
+            for vm, version in unknown.items()
+        )
+        self._unknown_heartbeats = unknown
         if (
             own is None
+            or missed_rows
             or math.isinf(self._steady_since_s)
             or now_s - own.last_seen_s > max_gap_s
             or now_s - self._last_read_s > max_gap_s
--- a/packages/gateway/src/damasksaddle_gateway/outage_detector.py
+++ b/packages/gateway/src/damasksaddle_gateway/outage_detector.py
@@ -35,6 +35,8 @@
 MAX_SAMPLED_VMS = 12
 # Time for which a confirmation is valid.
 CONFIRMATION_TTL_S = 0.8
+# A VM that has just started has never had a response.
+MAX_SILENT_MS = 3_600_000
 # Minimum share of the sampled VMs that must reply.
 MIN_REPLY_SHARE = 0.5
 
@@ -51,6 +53,8 @@
         self._membership = membership
         self._peers = peers
         self._confirmed_s = -math.inf
+        # When the store last responded to any VM that replied, in the current outage.
+        self.began_s = math.inf
         peers.handlers.add(StoreReach, self._on_store_reach)
 
     def is_confirmed(self) -> bool:
@@ -71,7 +75,8 @@
     async def _on_store_reach(
         self, message: StoreReach, sender: Sender
     ) -> StoreReached:
-        return StoreReached(self._store.is_available())
+        silent_ms = min(self._store.silence_s() * 1000, MAX_SILENT_MS)
+        return StoreReached(self._store.is_available(), int(silent_ms))
 
     @background_task
     async def _poll_during_outage(self) -> None:
@@ -91,9 +96,15 @@
         sent_s = boottime_s()
         replies = await asyncio.gather(*(self._ask_peer(vm) for vm in sampled))
         received = [reply for reply in replies if reply is not None]
-        if any(received) or len(received) < MIN_REPLY_SHARE * len(sampled):
+        answered = any(reply.answers for reply in received)
+        if answered or len(received) < MIN_REPLY_SHARE * len(sampled):
             return
-        if not self.is_confirmed():
+        silences_s = [reply.silent_ms / 1000 for reply in received]
+        began_s = sent_s - min([self._store.silence_s(), *silences_s])
+        if self.is_confirmed():
+            self.began_s = max(self.began_s, began_s)
+        else:
+            self.began_s = began_s
             log.warning(
                 "The store is unavailable to all VMs that replied.",
                 asked=len(sampled),
@@ -101,7 +112,7 @@
             )
         self._confirmed_s = sent_s
 
-    async def _ask_peer(self, vm: str) -> bool | None:
+    async def _ask_peer(self, vm: str) -> StoreReached | None:
         try:
             response = await self._peers.request(vm, StoreReach(), PEER_TIMEOUT_S)
         except (PeerError, Refusal) as error:
@@ -109,4 +120,4 @@
                 "A peer did not report its store status.", peer=vm, error=repr(error)
             )
             return None
-        return response.answers if isinstance(response, StoreReached) else None
+        return response if isinstance(response, StoreReached) else None
--- a/packages/protocol/src/damasksaddle_protocol/messages.py
+++ b/packages/protocol/src/damasksaddle_protocol/messages.py
@@ -146,9 +146,14 @@
 
 @dataclass(slots=True)
 class StoreReached:
-    """Reports whether the sender can reach the store."""
+    """
+    Reports whether the sender can reach the store.
+
+    `silent_ms` is the time since the store last responded to the sender.
+    """
 
     answers: bool
+    silent_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/protocol/src/damasksaddle_protocol/peer.capnp
+++ b/packages/protocol/src/damasksaddle_protocol/peer.capnp
@@ -244,6 +244,7 @@
 
 struct StoreReached {
   answers @0 :Bool;          # whether the sender can reach the store
+  silentMs @1 :UInt32;       # time since the store last responded to the sender
 }
 
 struct AnnounceLimit {
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -13,7 +13,7 @@
 from damasksaddle.utils import boottime_s, rendezvous
 from damasksaddle_gateway.coordinators import Coordinators
 from damasksaddle_gateway.membership import Membership
-from damasksaddle_gateway.outage_detector import OutageDetector
+from damasksaddle_gateway.outage_detector import MAX_SILENT_MS, OutageDetector
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.settings import Address
 from damasksaddle_gateway.store import StoreCircuitBreaker
@@ -260,6 +260,9 @@
     peers = StubPeers({})
     OutageDetector("vm-a", breaker, _stub_membership("vm-a"), peers)  # type: ignore[arg-type]
     response = await peers.handlers.unary[StoreReach](StoreReach(), None)
+    assert response == StoreReached(True, MAX_SILENT_MS)
+    await breaker.page("servers//")
+    response = await peers.handlers.unary[StoreReach](StoreReach(), None)
     assert response == REACHABLE
 
 
--- a/tests/gateway/test_offline_rights.py
+++ b/tests/gateway/test_offline_rights.py
@@ -8,6 +8,7 @@
 import pytest
 
 from damasksaddle.exceptions import TableUnavailable
+from damasksaddle.utils import boottime_s
 from damasksaddle_gateway.coordinators import Coordinators
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.settings import Address
@@ -28,6 +29,7 @@
 
     name: str
     table: MemoryVersionedTable
+    breaker: StoreCircuitBreaker
     membership: Membership
     coordinators: Coordinators
 
@@ -49,7 +51,7 @@
     async with Membership(breaker, settings) as membership:
         poll = asyncio.create_task(_poll(breaker))
         coordinators = Coordinators(name, breaker, membership, StubPeers({}))  # type: ignore[arg-type]
-        yield Vm(name, table, membership, coordinators)
+        yield Vm(name, table, breaker, membership, coordinators)
         poll.cancel()
 
 
@@ -69,8 +71,14 @@
     for vm in vms:
         vm.table.down = True
     await asyncio.sleep(1.5)
+    began_s = boottime_s() - min(vm.breaker.silence_s() for vm in vms)
     return {
-        name: [vm.name for vm in vms if vm.coordinators.holds_offline_right(name)]
+        name: [
+            vm.name
+            for vm in vms
+            if vm.coordinators.is_offline_holder(name)
+            and vm.membership.is_settled(began_s)
+        ]
         for name in NAMES
     }
 
@@ -90,7 +98,9 @@
     assert max(len(vms) for vms in holders.values()) <= 1
 
 
-@pytest.mark.parametrize("joined_s", [0.02, 0.5, 1.2, 3.0, 5.0, 6.5, 9.0])
+@pytest.mark.parametrize(
+    "joined_s", [0.02, 0.5, 1.2, 3.0, 3.9, 4.1, 4.5, 5.0, 5.5, 6.5, 7.9, 9.0, 12.0]
+)
 async def test_a_vm_that_joins_before_an_outage_shares_no_right(
     rows: VersionedRows, joined_s: float
 ) -> None:
