--- a/tests/platform/test_gateway_processes.py
+++ b/tests/platform/test_gateway_processes.py
@@ -257,3 +257,23 @@
         await asyncio.sleep(1.5)
         assert (await send_turn(host, "r3", "p3"))[0] == 401
         assert fleet.run_request_ids == ["r1"]
+
+
+# Reports how SIGHUP is handled when a process that starts imports its first library.
+REPORT_SIGNAL_AT_IMPORT = """
+import runpy, signal, sys
+class Finder:
+    def find_spec(self, name, path, target=None):
+        if name == "aiohttp":
+            sys.exit(0 if signal.getsignal(signal.SIGHUP) == signal.SIG_IGN else 3)
+sys.meta_path.insert(0, Finder())
+runpy.run_module("damasksaddle_platform", run_name="__main__")
+"""
+
+
+async def test_a_signal_for_a_running_process_does_not_end_one_that_starts() -> None:
+    """Guards against a VM that is lost because its settings change as it starts."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", REPORT_SIGNAL_AT_IMPORT
+    )
+    assert await process.wait() == 0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,7 +6,7 @@
 from click.testing import CliRunner
 
 from damasksaddle.exceptions import SettingsInvalid
-from damasksaddle_platform.__main__ import main
+from damasksaddle_platform.main import main
 from damasksaddle_platform.settings import read_settings
 
 SETTINGS_TEXT = """
