Continue no stream on an outdated list of upstreams

It COULD happen here where an upstream starts again under its id: a VM that is cut off from the store, or has just woken, takes the version from its list, the upstream expects its own id and does not check the version. Upstreams under new ids answer 421, and the version of the stream itself is read from the store or asked of peers, so a shard that moved is not the cause.

A stream now continues only if the list was read within DrainMs, the time in which a leaving upstream may get requests; otherwise 503 stream_version_unknown. The test failed before (streams joined). Streams that begin on an outdated list are not covered: they would have to be refused for most of each outage.

--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -24,6 +24,7 @@
     RouteNotFound,
     SizeLimitExceeded,
     Stopping,
+    StreamVersionUnknown,
     UpstreamUnavailable,
 )
 from damasksaddle.utils import (
@@ -421,6 +422,7 @@
                 self._known_upstreams = self._config_watcher.upstreams
                 self._placement.retain(list(self._known_upstreams.values()))
             version = await self._version(call)
+            self._check_upstreams_age(call)
             candidates = [
                 upstream
                 for upstream in self._untried_upstreams(call)
@@ -472,6 +474,17 @@
             if upstream.id not in call.tried_upstreams
         ]
 
+    def _check_upstreams_age(self, call: Call) -> None:
+        """
+        Raises if a stream would continue on an outdated list of upstreams.
+
+        An upstream may have started again under its id with another version, and does
+        not check which version began a stream.
+        """
+        age_s = self._config_watcher.upstreams_age_s()
+        if call.version is not None and age_s > self._config_watcher.drain_ms / 1000:
+            raise StreamVersionUnknown(f"the list of upstreams is {age_s:.1f} s old")
+
     async def _version(self, call: Call) -> str | None:
         """Returns the upstream version that a call needs, or None if any will do."""
         if call.version is not None or not is_resumable(call.route.kind):
--- a/tests/gateway/test_version_joins.py
+++ b/tests/gateway/test_version_joins.py
@@ -26,6 +26,8 @@
     """Upstreams u0 and u1 of v1, and u2 and u3 of v2; each break ends a connection."""
 
     breaks: int = 1
+    # Upstreams that have started again under their ids, with another version.
+    restarted: bool = False
     sent_by_request: dict[str, list[tuple[str, int]]] = field(default_factory=dict)
 
     def handlers(self) -> list[RequestCallback]:
@@ -40,7 +42,7 @@
             first = int(request.headers.get("Last-Event-Id", 0)) + 1
             for event in range(first, EVENTS + 1):
                 await response.write(b"id: %d\ndata: x\n\n" % event)
-                sent.append((version, event))
+                sent.append(("v3" if self.restarted else version, event))
                 if event == first and self.breaks > 0:
                     self.breaks -= 1
                     assert request.transport is not None
@@ -97,6 +99,26 @@
             assert len({version for version, _ in sent}) == 1
 
 
+async def test_a_vm_out_of_step_takes_up_no_stream() -> None:
+    """Guards against joining versions on a VM that was cut off during a release."""
+    upstreams = TwoVersions(breaks=STREAMS)
+    async with run_gateway(*upstreams.handlers()) as gateway:
+        upstreams.prepare(gateway, attempts=1)
+        for stream in range(STREAMS):
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await gateway.send("/turn/x", X_Request_Id=f"r{stream}")
+        upstreams.restarted = True
+        watcher = gateway.config_watcher
+        watcher.upstreams_age_s = lambda: 2.5  # type: ignore[method-assign]
+        for stream in range(STREAMS):
+            again = {"Last_Event_Id": "1", "Resumes": f"r{stream}"}
+            status, body, _ = await gateway.send(
+                "/turn/x", X_Request_Id=f"again-{stream}", **again
+            )
+            assert (status, body) == (503, b"stream_version_unknown")
+        assert not any(name.startswith("again") for name in upstreams.sent_by_request)
+
+
 async def test_a_stream_taken_up_goes_on_at_the_service_that_began_it() -> None:
     """Guards against continuing a stream at another service of a split route."""
     upstreams = TwoVersions()
