Test responses that end in their head

It does not happen here: heads were cut around each line end and inside of lines, with and without a length, for plain calls and streams; none was passed on.

--- a/tests/gateway/test_faulty_answers.py
+++ b/tests/gateway/test_faulty_answers.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
 
 import aiohttp
@@ -235,3 +235,49 @@
     async with run_gateway(unframed(EVENT_1 + EVENT_2[:-4])) as gateway:
         with pytest.raises(aiohttp.ClientPayloadError):
             await gateway.send("/turn/x")
+
+
+def _cut_positions(head: bytes) -> list[int]:
+    """Returns where an upstream may stop in a head: around line ends, and inside."""
+    ends = [index for index in range(len(head)) if head[index : index + 2] == b"\r\n"]
+    return sorted({9, 13, *(end + step for end in ends for step in (0, 1, 2, 6))})
+
+
+@pytest.mark.parametrize("length", ["Content-Length: 4\r\n", ""])
+@pytest.mark.parametrize("kind", ["/once/x", "/turn/x"])
+async def test_a_response_that_ends_in_its_head_is_no_response(
+    kind: str, length: str
+) -> None:
+    """Guards against an empty answer, framed as whole, for a head that was cut."""
+    whole_head = (
+        "HTTP/1.1 200 OK\r\nX-Server-Signature: s1\r\nX-Request-Id: r1\r\n"
+        f"{length}Content-Type: text/event-stream\r\n\r\n"
+    ).encode()
+    head = b""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # The gateway also connects to see whether an upstream still listens.
+        with suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b"body")
+            writer.write(head)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    entry = Upstream("u", "svc", f"{host}:{port}", "a", 4, False)
+    streams = route("/turn/", Streaming(resumable=False, max_gap_ms=200))
+    async with run_gateway() as gateway:
+        gateway.config_watcher.config = replace(
+            CONFIG, routes=(*CONFIG.routes, streams)
+        )
+        gateway.config_watcher.upstreams["u"] = entry
+        for position in _cut_positions(whole_head):
+            if position >= len(whole_head):
+                continue
+            head = whole_head[:position]
+            try:
+                status, body, _ = await gateway.send(kind)
+            except aiohttp.ClientError:
+                continue
+            assert status != 200, (head, body)
+    server.close()
