Wait for connections that were accepted as a stop closes the listener

Traced: the process log and the time of the close show that the connection stayed open until the process ended. It was accepted in the turn of the loop in which the listener closed, and its server knew it only after the stop had seen no connection. The stop looks twice now.

--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -45,6 +45,8 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 STOP_POLL_S = 0.05
+# A connection that was just accepted is known to its server some turns later.
+EMPTY_POLLS = 2
 # Time for closing connections once no request runs; part of the stop margin.
 CONNECTION_CLOSE_S = 0.4
 # Time after which a connection that did not close is cut.
@@ -306,12 +308,15 @@
             for site in list(runner.sites):
                 await site.stop()
         servers = [runner.server for runner in self._runners if runner.server]
-        while any(server.connections for server in servers):
+        empty_polls = 0
+        while empty_polls < EMPTY_POLLS:
+            await asyncio.sleep(STOP_POLL_S)
             for server in servers:
                 _close_idle_connections(server)
+            is_open = any(server.connections for server in servers)
+            empty_polls = 0 if is_open else empty_polls + 1
             if boottime_s() >= self._stop_deadline_s + CONNECTION_CLOSE_S:
                 return
-            await asyncio.sleep(STOP_POLL_S)
 
     async def on_stop(self) -> None:
         await self._finish_requests()
