Send no new requests to an upstream that says that it leaves

The watcher leaves such an upstream out of those that accept new requests, in the same place as one that the list calls draining, so retries, take-ups, waits for permits and shards follow. It holds for an incarnation, whatever the list says, and is forgotten 600 s after the last such response.

The tests use the new interface, so they fail as a whole without it.

--- a/packages/gateway/src/damasksaddle_gateway/config_watcher.py
+++ b/packages/gateway/src/damasksaddle_gateway/config_watcher.py
@@ -43,6 +43,8 @@
 # An upstream whose row expired during an outage is kept for this time after the outage,
 # because upstreams renew their rows within two seconds of its end.
 REREGISTRATION_S = 2.0
+# An upstream that leaves is gone within this time, or was wrong when it said so.
+LEAVING_RETENTION_S = 600.0
 # A longer gap than this between two successful reads counts as an outage.
 OUTAGE_THRESHOLD_S = 2.0
 
@@ -60,6 +62,8 @@
         self.drain_ms = drain_ms
         self.config: RoutingConfig | None = None
         self.upstreams: dict[str, Upstream] = {}
+        # When an upstream last said in a response that it leaves, by incarnation.
+        self._leaving: dict[tuple[str, str, int], float] = {}
         # Called after a new configuration was applied.
         self.on_applied: Callable[[], None] = lambda: None
         self._feed = TableFeed(
@@ -89,13 +93,32 @@
         return boottime_s() - self._upstreams_verified_s
 
     def available_upstreams(self, service: str) -> list[Upstream]:
-        """Returns the upstreams of a service that accept new requests."""
+        """
+        Returns the upstreams of a service that accept new requests.
+
+        An upstream that leaves says so in the list or in its responses.
+        """
         return [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.service == service and not upstream.draining
+            if upstream.service == service
+            and not upstream.draining
+            and upstream.incarnation not in self._leaving
         ]
 
+    def record_leaving(self, upstream: Upstream) -> None:
+        """Records that an upstream said in a response that it leaves."""
+        now_s = boottime_s()
+        if upstream.incarnation not in self._leaving:
+            log.info("An upstream said that it leaves.", upstream=upstream.id)
+        self._leaving[upstream.incarnation] = now_s
+
+    def _forget_leaving(self, now_s: float) -> None:
+        """Forgets what was recorded long ago, in case it was wrong."""
+        for incarnation, recorded_s in list(self._leaving.items()):
+            if now_s - recorded_s > LEAVING_RETENTION_S:
+                del self._leaving[incarnation]
+
     @background_task
     async def _follow_config(self) -> None:
         await self._feed.follow(lambda: self.should_stop)
@@ -167,6 +190,7 @@
         self._replace_upstreams(page.rows, requested_s)
 
     def _replace_upstreams(self, rows: list[Row], now_s: float) -> None:
+        self._forget_leaving(now_s)
         listed = {}
         for row in rows:
             upstream = decode(self._decoder.decode_upstream, row)
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -154,6 +154,7 @@
         )
         self.stream_versions.register_handlers(self.peers.handlers)
         self.upstreams = UpstreamClient(codec, self.upstream_limits)
+        self.upstreams.on_leaving = self.config_watcher.record_leaving
         self.request_handler = RequestHandler(
             self.config_watcher,
             self.rate_limiter,
--- a/packages/gateway/src/damasksaddle_gateway/interfaces.py
+++ b/packages/gateway/src/damasksaddle_gateway/interfaces.py
@@ -77,7 +77,8 @@
     Response attributes decoded from the status and headers of an upstream.
 
     `rate_limit_per_s` is the number of requests per second that the upstream accepts
-    from all VMs together, or None if it names no limit.
+    from all VMs together, or None if it names no limit. `leaving` is set if it takes no
+    new requests because it is about to end.
     """
 
     request_id: str
@@ -85,6 +86,7 @@
     not_run: bool
     misdirected: bool
     rate_limit_per_s: float | None = None
+    leaving: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from functools import partial
@@ -143,6 +143,8 @@
     def __init__(self, codec: HeaderCodec, limits: UpstreamLimits) -> None:
         self._codec = codec
         self._limits = limits
+        # Called with an upstream that says in a response that it leaves.
+        self.on_leaving: Callable[[Upstream], None] = lambda upstream: None
         self._session: aiohttp.ClientSession | None = None
         # For requests that must not use a kept connection.
         self._closing_session: aiohttp.ClientSession | None = None
@@ -232,6 +234,8 @@
         sent_s: float,
     ) -> UpstreamResponse:
         metadata = self._codec.decode_response(response.status, response.headers)
+        if metadata.leaving:
+            self.on_leaving(upstream)
         if metadata.request_id and metadata.request_id != attempt.request_id:
             response.close()
             raise ResponseInterrupted("the response belongs to another request")
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -155,6 +155,7 @@
     splits = VersionSplits(table, config_watcher, coordinators)
     versions = StreamVersions(splits, coordinators, peers, table.is_available)
     client = UpstreamClient(codec, limits)
+    client.on_leaving = config_watcher.record_leaving
     await client.start()
     request_handler = RequestHandler(
         config_watcher,
