Close an idle connection to an upstream when bytes arrive on it

Cause: the library parses and keeps them until the next request or the pool's timeout of 4 s, and never pauses reading. Ruled out: a body that nobody reads.

From its release to the pool until the next request, a connection is closed by the first byte.

--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -19,11 +19,13 @@
 from yarl import URL
 
 from damasksaddle.exceptions import DamasksaddleError
-from damasksaddle.utils import boottime_s
+from damasksaddle.utils import boottime_s, get_logger
 from damasksaddle_gateway.interfaces import HeaderCodec, ResponseMetadata
 from damasksaddle_gateway.routing_config import Upstream
 from damasksaddle_gateway.upstream_limits import UpstreamLimits
 
+log = get_logger("upstreams")
+
 CONNECT_TIMEOUT_S = 0.4
 # Upstreams close idle connections after their own timeout, which is a few seconds.
 KEEPALIVE_S = 4.0
@@ -55,9 +57,29 @@
 
 
 class _Connection(ResponseHandler):
-    """Records the error that closed the connection."""
+    """
+    Records the error that closed the connection, and accepts no bytes while idle.
+
+    Bytes that arrive without a request would be parsed and kept without a bound.
+    """
 
     close_error: BaseException | None = None
+    # Set while the connection waits in the pool.
+    idle = False
+
+    def set_response_params(self, **params: Any) -> None:
+        self.idle = False
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        if self.idle:
+            log.info("An upstream sent bytes without a request.", peer=self._peer())
+            self.abort()
+            return
+        super().data_received(data)
+
+    def _peer(self) -> object:
+        return self.transport and self.transport.get_extra_info("peername")
 
     def is_connected(self) -> bool:
         """
@@ -97,6 +119,11 @@
             _Connection, loop=asyncio.get_running_loop()
         )
 
+    def _release(self, key: Any, protocol: ResponseHandler, **options: Any) -> None:
+        if isinstance(protocol, _Connection):
+            protocol.idle = True
+        super()._release(key, protocol, **options)
+
 
 @dataclass(slots=True)
 class UpstreamResponse:
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -98,3 +98,37 @@
     with pytest.raises(SizeLimitExceeded):
         for _ in range(MAX_EVENT_BYTES // len(CHUNK) + 2):
             splitter.feed(CHUNK)
+
+
+async def test_bytes_on_an_idle_connection_close_it() -> None:
+    """Guards against memory that fills with answers to requests that nobody sent."""
+    answer = HEAD + b"Content-Length: 4\r\n\r\ndone"
+    closed = asyncio.Event()
+    sent_bytes = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal sent_bytes
+        await reader.readuntil(b"body")
+        writer.write(answer)
+        await asyncio.sleep(0.1)
+        try:
+            while sent_bytes < 50 * len(CHUNK):
+                writer.write(answer * 100)
+                sent_bytes += 100 * len(answer)
+                await writer.drain()
+        except OSError:
+            closed.set()
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    async with run_gateway() as gateway:
+        gateway.config_watcher.upstreams["u"] = Upstream(
+            "u", "svc", f"{host}:{port}", "a", 4, False
+        )
+        assert (await gateway.send("/once/x"))[:2] == (200, b"done")
+        async with asyncio.timeout(1.0):
+            await closed.wait()
+        assert sent_bytes < 30 * len(CHUNK)
+    server.close()
