Let a VM that held a right in earlier outages grant first turns in the next

A process now knows since when it has held a right, from the registered VMs that it remembers. Outages since then don't count: nobody else can have granted. The rights of a VM have a module of their own (offline_rights). Tests cover a second outage, a right that moved after the first, and a restarted process; they use the new interface.

--- a/packages/gateway/src/damasksaddle_gateway/budgets.py
+++ b/packages/gateway/src/damasksaddle_gateway/budgets.py
@@ -11,8 +11,8 @@
 one turn. These offline grants are written to the row once the store is available again;
 they are lost with the process. So that a program exceeds its budget by one turn at most
 over all outages, only the process that created the row may grant offline. Before there
-is a row, a process may do so for a program that has just started, if it would have
-noticed any earlier outage in which another one might have done the same.
+is a row, a process may do so for a program that has just started, if no other one can
+have done the same in an earlier outage.
 """
 
 import asyncio
@@ -140,7 +140,7 @@
         settle_s: float,
         may_grant_offline: Callable[[str], Awaitable[bool]],
         cleans_up_part: Callable[[str], bool] = lambda part: True,
-        calm_s: Callable[[], float] = lambda: math.inf,
+        sole_granter_s: Callable[[str], float] = lambda name: math.inf,
     ) -> None:
         super().__init__()
         self._table = table
@@ -148,8 +148,8 @@
         self._may_grant_offline = may_grant_offline
         # Tells which table partitions this VM cleans up.
         self._cleans_up_part = cleans_up_part
-        # For how long this VM would have noticed an outage, and did not.
-        self._calm_s = calm_s
+        # For how long no other VM can have granted tokens of a program offline.
+        self._sole_granter_s = sole_granter_s
         # Identifies this process in the rows that it creates.
         self._process = new_id("gw")
         self._accounts: OrderedDict[str, TokenAccount] = OrderedDict()
@@ -318,7 +318,10 @@
 
     def _is_new_program(self, account: TokenAccount) -> bool:
         """Tells whether no other VM can have granted tokens of the program."""
-        return account.may_be_first_turn and self._calm_s() >= MAX_PROGRAM_PAUSE_S
+        return (
+            account.may_be_first_turn
+            and self._sole_granter_s(account.name) >= MAX_PROGRAM_PAUSE_S
+        )
 
     def _may_overdraw(self, account: TokenAccount) -> bool:
         """Tells whether a loss of this process would be the program's first one."""
--- a/packages/gateway/src/damasksaddle_gateway/coordinators.py
+++ b/packages/gateway/src/damasksaddle_gateway/coordinators.py
@@ -71,6 +71,15 @@
         """
         return self._offline_holder(name) == self.vm
 
+    def holder_since_s(self, name: str) -> float:
+        """Returns since when this VM holds that right, or infinity if it does not."""
+        since_s = math.inf
+        for changed_s, vms in reversed(self._membership.registered_history):
+            if not vms or rendezvous(name, vms)[0] != self.vm:
+                break
+            since_s = changed_s
+        return since_s
+
     def _offline_holder(self, name: str) -> str | None:
         vms = self._membership.registered_vms()
         return rendezvous(name, vms)[0] if vms else None
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -25,6 +25,7 @@
 )
 from damasksaddle_gateway.interfaces import HeaderCodec, RowDecoder
 from damasksaddle_gateway.membership import Membership
+from damasksaddle_gateway.offline_rights import OfflineRights
 from damasksaddle_gateway.outage_detector import OutageDetector
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.placement import Placement
@@ -117,14 +118,10 @@
         )
         coordinators = Coordinators(settings.vm, table, self.membership, self.peers)
 
-        async def may_grant_offline(name: str) -> bool:
-            return (
-                coordinators.is_offline_holder(name)
-                and await self.outage_detector.confirm()
-                and self.membership.is_settled(self.outage_detector.began_s)
-            )
-
-        self.token_buckets = TokenBuckets(table, settings, may_grant_offline)
+        offline_rights = OfflineRights(
+            table, self.membership, coordinators, self.peers, self.outage_detector
+        )
+        self.token_buckets = TokenBuckets(table, settings, offline_rights.may_grant)
         self.rate_limiter = RateLimiter(
             self.token_buckets,
             coordinators,
@@ -135,9 +132,9 @@
         self.budgets = Budgets(
             table,
             settings.settle_ms / 1000,
-            may_grant_offline,
+            offline_rights.may_grant,
             lambda part: coordinators.is_coordinator(f"{BUDGETS_TABLE}/{part}"),
-            self._calm_s,
+            offline_rights.sole_granter_s,
         )
         self.turns = TurnBudgets(settings.vm, self.budgets, coordinators, self.peers)
         self.placement = Placement()
@@ -176,13 +173,6 @@
         self._runners: list[web.ServerRunner] = []
         self._stop_deadline_s = -math.inf
 
-    def _calm_s(self) -> float:
-        """Returns for how long there was no outage before the current one, if any."""
-        since_s = max(self.membership.steady_since_s(), self.store.available_since_s)
-        if self.peers.is_founding(since_s):
-            return math.inf
-        return self.store.unavailable_since_s() - since_s
-
     def _longest_request_s(self) -> float:
         config = self.config_watcher.config
         return config.longest_timeout_ms() / 1000 if config is not None else 0.0
--- a/packages/gateway/src/damasksaddle_gateway/membership.py
+++ b/packages/gateway/src/damasksaddle_gateway/membership.py
@@ -10,6 +10,7 @@
 
 import json
 import math
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -50,6 +51,8 @@
 # Maximum age of a VM's view when the store became unavailable to the last VM. A VM that
 # joined or returned holds rights after the same time, so all valid views contain it.
 SETTLE_HEARTBEATS = 4
+# Number of changes of the registered VMs that are remembered.
+MAX_REGISTERED_CHANGES = 16
 # Rows of VMs that have been dead for this time are removed.
 REMOVE_AFTER_S = 60.0
 # Long-poll time of one read of the change feed.
@@ -102,6 +105,10 @@
         self._last_read_s = -math.inf
         # Since when this VM has read and written heartbeats without a long gap.
         self._steady_since_s = math.inf
+        # The registered VMs, and since when they were these.
+        self.registered_history: deque[tuple[float, list[str]]] = deque(
+            maxlen=MAX_REGISTERED_CHANGES
+        )
         # Versions of the heartbeats of VMs without a row.
         self._unknown_heartbeats: dict[str, int] = {}
         self._feed = TableFeed(
@@ -311,9 +318,15 @@
                 member.last_seen_s = requested_s
         self._last_read_s = requested_s
         self._record_heartbeats(page.rows, requested_s)
+        self._record_registered(requested_s)
         self._live_cache = None
         await self._remove_dead(requested_s)
 
+    def _record_registered(self, now_s: float) -> None:
+        vms = sorted(self.registered_vms())
+        if not self.registered_history or self.registered_history[-1][1] != vms:
+            self.registered_history.append((now_s, vms))
+
     def _update_steady_time(self, heartbeats: list[Row], now_s: float) -> None:
         own = self._members.get(self.settings.vm)
         max_gap_s = MAX_GAP_HEARTBEATS * self._longest_interval_s
--- a/packages/gateway/src/damasksaddle_gateway/store.py
+++ b/packages/gateway/src/damasksaddle_gateway/store.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -36,6 +37,8 @@
 # A store that rejects single calls because it gets too many is available. One that
 # accepted none of this VM's calls for this time turns the VM away.
 REJECTION_THRESHOLD_S = 1.0
+# The ends of more outages than happen within a minute.
+MAX_OUTAGE_ENDS = 64
 # Single late answers do not make a store slow.
 SLOW_CONFIRMATION_S = 1.0
 
@@ -88,8 +91,8 @@
         self._table = table
         self._failures = 0
         self._unavailable_since_s = 0.0
-        # When the last outage ended.
-        self.available_since_s = -math.inf
+        # When the last outages ended.
+        self.outage_ends_s: deque[float] = deque(maxlen=MAX_OUTAGE_ENDS)
         self._last_answer_s = -math.inf
         self._last_success_s = -math.inf
         self._was_slow = False
@@ -250,7 +253,7 @@
             unavailable_s = round(boottime_s() - self._unavailable_since_s, 3)
             log.info("The store is available again.", away_s=unavailable_s)
             self.unavailable.clear()
-            self.available_since_s = boottime_s()
+            self.outage_ends_s.append(boottime_s())
         self._failures = 0
         self._last_answer_s = self._last_success_s = boottime_s()
 
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -297,8 +297,10 @@
         )
 
 
-def _new_process(breaker: StoreCircuitBreaker, calm_s: float) -> Budgets:
-    return Budgets(breaker, 1.0, allow_offline_grants, calm_s=lambda: calm_s)
+def _new_process(breaker: StoreCircuitBreaker, sole_s: float) -> Budgets:
+    return Budgets(
+        breaker, 1.0, allow_offline_grants, sole_granter_s=lambda name: sole_s
+    )
 
 
 async def test_the_process_that_created_the_row_grants_offline_again(
@@ -318,7 +320,7 @@
 
 
 async def _play_outages(
-    rows: VersionedRows, turns_between: int, first_calm_s: float
+    rows: VersionedRows, turns_between: int, first_sole_s: float
 ) -> int:
     """
     Plays a program over outages, in each of which its coordinator is lost.
@@ -329,7 +331,7 @@
     for number in range(12):
         table = MemoryVersionedTable(rows)
         breaker = StoreCircuitBreaker(table)
-        budgets = _new_process(breaker, 1.0 if number else first_calm_s)
+        budgets = _new_process(breaker, 1.0 if number else first_sole_s)
         try:
             for _ in range(turns_between):
                 handed += (await _reserve(budgets)).tokens
@@ -342,11 +344,11 @@
     return handed
 
 
-@pytest.mark.parametrize("first_calm_s", [1.0, 3600.0])
+@pytest.mark.parametrize("first_sole_s", [1.0, 3600.0])
 @pytest.mark.parametrize("turns_between", [0, 1, 2])
 async def test_outages_with_lost_coordinators_exceed_a_budget_by_one_turn_at_most(
-    rows: VersionedRows, turns_between: int, first_calm_s: float
+    rows: VersionedRows, turns_between: int, first_sole_s: float
 ) -> None:
     """Guards against a turn beyond the budget in each outage that loses a VM."""
-    handed = await _play_outages(rows, turns_between, first_calm_s)
+    handed = await _play_outages(rows, turns_between, first_sole_s)
     assert handed <= BUDGET + MAX_TURN_TOKENS
--- a/tests/gateway/test_offline_rights.py
+++ b/tests/gateway/test_offline_rights.py
@@ -1,9 +1,11 @@
 """Which VM may grant rates and budgets while the store is unavailable."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass
+from typing import Any
 
 import pytest
 
@@ -11,6 +13,8 @@
 from damasksaddle.utils import boottime_s
 from damasksaddle_gateway.coordinators import Coordinators
 from damasksaddle_gateway.membership import Membership
+from damasksaddle_gateway.offline_rights import OfflineRights
+from damasksaddle_gateway.outage_detector import OutageDetector
 from damasksaddle_gateway.settings import Address
 from damasksaddle_gateway.store import StoreCircuitBreaker
 from damasksaddle_standins.versioned_table import MemoryVersionedTable, VersionedRows
@@ -21,6 +25,8 @@
 
 NAMES = [f"workspace-{number}" for number in range(60)]
 POLL_S = 0.3
+# VMs that follow the store since then are the first ones of the fleet.
+FOUNDED_S = 5.0
 
 
 @dataclass
@@ -32,6 +38,7 @@
     breaker: StoreCircuitBreaker
     membership: Membership
     coordinators: Coordinators
+    rights: OfflineRights
 
 
 async def _poll(breaker: StoreCircuitBreaker) -> None:
@@ -50,8 +57,12 @@
     settings = make_settings(name, caller_address=address, peer_address=address)
     async with Membership(breaker, settings) as membership:
         poll = asyncio.create_task(_poll(breaker))
-        coordinators = Coordinators(name, breaker, membership, StubPeers({}))  # type: ignore[arg-type]
-        yield Vm(name, table, breaker, membership, coordinators)
+        peers: Any = StubPeers({})
+        peers.is_founding = lambda since_s: since_s < FOUNDED_S
+        coordinators = Coordinators(name, breaker, membership, peers)
+        detector = OutageDetector(name, breaker, membership, peers)
+        rights = OfflineRights(breaker, membership, coordinators, peers, detector)
+        yield Vm(name, table, breaker, membership, coordinators, rights)
         poll.cancel()
 
 
@@ -131,3 +142,52 @@
         await asyncio.sleep(25)
         holders = await _holders_in_outage(vms[1:])
     assert {len(vms) for vms in holders.values()} == {1}
+
+
+def _sole_granters(vms: list[Vm]) -> dict[str, float]:
+    """Returns the longest time of any VM for each name."""
+    return {name: max(vm.rights.sole_granter_s(name) for vm in vms) for name in NAMES}
+
+
+async def _outage(vms: list[Vm]) -> None:
+    await _holders_in_outage(vms)
+    for vm in vms:
+        vm.table.down = False
+    await asyncio.sleep(6)
+
+
+async def test_a_vm_that_held_a_right_in_the_last_outage_knows_its_grants(
+    rows: VersionedRows,
+) -> None:
+    """Guards against refusing programs that begin in a second outage."""
+    async with running_fleet(rows, 4) as vms:
+        await _outage(vms)
+        assert set(_sole_granters(vms).values()) == {math.inf}
+
+
+async def test_a_vm_that_got_a_right_after_an_outage_does_not_know_its_grants(
+    rows: VersionedRows,
+) -> None:
+    """Guards against granting what a lost VM has granted in an earlier outage."""
+    async with running_fleet(rows, 4) as vms:
+        held = [name for name in NAMES if vms[0].coordinators.is_offline_holder(name)]
+        await _outage(vms)
+        vms[0].table.down = True
+        await asyncio.sleep(14)
+        sole_s = _sole_granters(vms[1:])
+        assert held
+        assert all((sole_s[name] < 60) == (name in held) for name in NAMES)
+
+
+async def test_a_restarted_vm_does_not_know_the_grants_of_its_last_process(
+    rows: VersionedRows,
+) -> None:
+    """Guards against granting what the process before has granted."""
+    async with running_fleet(rows, 3) as vms:
+        async with running_vm(rows, "vm-new"):
+            await asyncio.sleep(10)
+        async with running_vm(rows, "vm-new") as restarted:
+            await asyncio.sleep(10)
+            sole_s = _sole_granters([restarted])
+            assert max(sole_s.values()) < 60
+        assert vms
