Keep a connection whose reading the library resumes

The library calls data_received without data when it resumes reading, and that counted as bytes on an idle connection. The test of one connection for several requests failed before.

--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -72,7 +72,8 @@
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
-        if self.idle:
+        # The library calls this without data when it resumes reading.
+        if self.idle and data:
             log.info("An upstream sent bytes without a request.", peer=self._peer())
             self.abort()
             return
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -593,3 +593,18 @@
         assert statuses == [502, 502, 502, 503, 503, 503]
         assert 50 <= float(headers["Retry-After"]) <= 60
         assert len(gateway.received) == 3
+
+
+async def test_requests_one_after_the_other_use_one_connection() -> None:
+    """Guards against a new connection to an upstream for each request."""
+    connections = set()
+
+    async def respond(request: web.BaseRequest) -> web.StreamResponse:
+        assert request.transport is not None
+        connections.add(request.transport.get_extra_info("peername"))
+        return await respond_ok(request)
+
+    async with run_gateway(respond) as gateway:
+        for _ in range(4):
+            assert (await gateway.send("/once/x"))[0] == 200
+    assert len(connections) == 1
