Let the gateway read in the test of bytes on an idle connection

Its upstream wrote everything into the sockets' buffers before the gateway, in the same loop, could read. It yields now, and fails without the check in the product (tried) as it should.

--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -116,6 +116,8 @@
                 writer.write(answer * 100)
                 sent_bytes += 100 * len(answer)
                 await writer.drain()
+                # Lets the gateway read, which runs in the same loop.
+                await asyncio.sleep(0)
         except OSError:
             closed.set()
         finally:
