--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -97,3 +97,23 @@
 ) -> None:
     """Guards against retrying a request that an upstream may have run."""
     assert CODEC.decode_response(status, CIMultiDict(headers)).not_run is not_run
+
+
+@pytest.mark.parametrize("number", ["inf", "-inf", "nan", "1e999", "9" * 5000])
+def test_numbers_out_of_range_are_ignored(number: str) -> None:
+    """Guards against a request that fails in the gateway for a number in a header."""
+    names = ("X-Deadline-Ms", "X-Program-Deadline-Ms", "X-Token-Budget")
+    request = CODEC.decode_request(
+        _headers(
+            ("X-Program-Id", "p1"),
+            ("X-Token-Count", f"{number},{number}"),
+            ("X-Prompt-Prefix", f"5c1e:{number}"),
+            *((name, number) for name in names),
+        )
+    )
+    assert request.program is not None
+    assert request.deadline_ms is None
+    assert request.program.time_left_ms is None
+    assert request.program.budget_tokens is None
+    assert (request.prompt_tokens, request.max_output_tokens) == (0, 0)
+    assert request.prompt_parts == ()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -43,12 +43,22 @@
 
 
 @pytest.mark.parametrize(
-    "text", ["", "[", "NodeName: a", SETTINGS_TEXT.replace("7795", "x")]
+    "text",
+    [
+        "",
+        "[",
+        "NodeName: a",
+        SETTINGS_TEXT.replace("7795", "x"),
+        SETTINGS_TEXT.replace("10.1.0.11:8368", "10.1.0.11:x"),
+        SETTINGS_TEXT.replace("10.1.0.11:8368", "10.1.0.11:83680"),
+        "[" * 30_000,
+        "\udcff",
+    ],
 )
 def test_invalid_settings_file(tmp_path: Path, text: str) -> None:
     """Guards against starting with unreadable settings."""
     path = tmp_path / "local.yaml"
-    path.write_text(text)
+    path.write_text(text, errors="surrogateescape")
     with pytest.raises(SettingsInvalid):
         read_settings(path)
     with pytest.raises(SettingsInvalid):
