Do not subtract from a rate what the refill during an outage has covered

The draw after the outage limited the row to the burst first and then subtracted all that had been granted, although the refill of that time covered it: 84 - 378 for an outage of 4.5 s at 84 a second.

The level after the draw is also bounded by the level that this VM tracked while it granted, since the bucket may have overflowed before the last grants.

--- a/packages/gateway/src/damasksaddle_gateway/token_buckets.py
+++ b/packages/gateway/src/damasksaddle_gateway/token_buckets.py
@@ -420,10 +420,12 @@
             if value is not None:
                 now_ms = max(now_ms, value["at_ms"])
                 refilled = (now_ms - value["at_ms"]) / 1000 * workspace.rate_per_s
-                level = (
-                    min(workspace.burst, value["level"] + refilled + unused)
-                    - offline_tokens
-                )
+                unspent = refilled + unused - offline_tokens
+                level = min(workspace.burst, value["level"] + unspent)
+                if bucket.offline:
+                    # The bucket may have overflowed before the last grants.
+                    own_level = bucket.current_level(workspace) + unused
+                    level = min(level, own_level)
             granted = max(0.0, math.floor(min(level, requested)))
             remaining = level - granted
             if not granted and not unused and not offline_tokens:
--- a/tests/gateway/test_token_buckets.py
+++ b/tests/gateway/test_token_buckets.py
@@ -182,3 +182,25 @@
     await take(next_buckets, loop.time() + 4)
     window = WINDOW_S * workspace.rate_per_s + workspace.burst
     assert _max_per_window(admitted_at_s) <= window * 1.1 + 20
+
+
+async def test_the_rate_can_be_used_after_an_outage(
+    table: MemoryVersionedTable,
+) -> None:
+    """Guards against subtracting what the refill during an outage has covered."""
+    breaker = StoreCircuitBreaker(table)
+    buckets = TokenBuckets(breaker, make_settings(), allow_offline_grants)
+    admitted_at_s: list[float] = []
+
+    async def outage() -> None:
+        await asyncio.sleep(6)
+        table.down = True
+        await asyncio.sleep(5)
+        table.down = False
+        while not breaker.is_available():
+            await breaker.page("servers//")
+
+    await asyncio.gather(_take_repeatedly(buckets, 0.005, admitted_at_s), outage())
+    after = [t for t in admitted_at_s if 11.5 < t < 15.5]
+    assert len(after) >= 0.8 * 4 * WORKSPACE.rate_per_s
+    assert _max_per_window(admitted_at_s) <= MAX_ADMITTED
