--- a/tests/gateway/test_token_buckets.py
+++ b/tests/gateway/test_token_buckets.py
@@ -131,12 +131,13 @@
     await new_buckets.take(WORKSPACE, 1, 0.2, 0)
 
 
-async def test_the_rate_applies_during_an_outage(table: MemoryVersionedTable) -> None:
-    """Guards against refusing requests, or exceeding the rate, during an outage."""
+async def _take_around_outage(
+    table: MemoryVersionedTable, pause_s: float
+) -> list[float]:
+    """Takes tokens for 20 s with an outage from 6 s to 11 s."""
     breaker = StoreCircuitBreaker(table)
     buckets = TokenBuckets(breaker, make_settings(), allow_offline_grants)
     admitted_at_s: list[float] = []
-    loop = asyncio.get_running_loop()
 
     async def outage() -> None:
         await asyncio.sleep(6)
@@ -146,7 +147,14 @@
         while not breaker.is_available():
             await breaker.page("servers//")
 
-    await asyncio.gather(_take_repeatedly(buckets, 0.02, admitted_at_s), outage())
+    await asyncio.gather(_take_repeatedly(buckets, pause_s, admitted_at_s), outage())
+    return admitted_at_s
+
+
+async def test_the_rate_applies_during_an_outage(table: MemoryVersionedTable) -> None:
+    """Guards against refusing requests, or exceeding the rate, during an outage."""
+    loop = asyncio.get_running_loop()
+    admitted_at_s = await _take_around_outage(table, 0.02)
     assert _max_per_window(admitted_at_s) <= MAX_ADMITTED
     in_outage_s = [t for t in admitted_at_s if 6 < t < 11]
     assert len(in_outage_s) >= 0.8 * 5 * WORKSPACE.rate_per_s
@@ -188,19 +196,7 @@
     table: MemoryVersionedTable,
 ) -> None:
     """Guards against subtracting what the refill during an outage has covered."""
-    breaker = StoreCircuitBreaker(table)
-    buckets = TokenBuckets(breaker, make_settings(), allow_offline_grants)
-    admitted_at_s: list[float] = []
-
-    async def outage() -> None:
-        await asyncio.sleep(6)
-        table.down = True
-        await asyncio.sleep(5)
-        table.down = False
-        while not breaker.is_available():
-            await breaker.page("servers//")
-
-    await asyncio.gather(_take_repeatedly(buckets, 0.005, admitted_at_s), outage())
+    admitted_at_s = await _take_around_outage(table, 0.005)
     after = [t for t in admitted_at_s if 11.5 < t < 15.5]
     assert len(after) >= 0.8 * 4 * WORKSPACE.rate_per_s
     assert _max_per_window(admitted_at_s) <= MAX_ADMITTED
