Take no connections for a moment before a stop closes its listeners

Cause: asyncio.Server.close in Python 3.11 drops a connection that was accepted in the same turn of the loop. Its transport cannot be created, and the socket stays open, silent, until the process ends (a trial: the client times out). The stop stops accepting, waits one look, and then closes. The test failed before.

--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -97,6 +97,20 @@
             connection.force_close()
 
 
+def _stop_accepting(sites: list[web.BaseSite]) -> None:
+    """
+    Leaves new connections to the listening sockets, which reset them when they close.
+
+    `asyncio.Server.close` alone would lose a connection that was accepted in the same
+    turn of the loop: its transport cannot be created, and its socket stays open.
+    """
+    loop = asyncio.get_running_loop()
+    for site in sites:
+        if isinstance(site._server, asyncio.Server):
+            for listener in site._server.sockets:
+                loop.remove_reader(listener.fileno())
+
+
 class Gateway(Service):
     """A gateway process."""
 
@@ -295,9 +309,11 @@
         request is closed at once. The others close after their response, because the
         VM drains, and a response may take some time to be read.
         """
-        for runner in self._runners:
-            for site in list(runner.sites):
-                await site.stop()
+        sites = [site for runner in self._runners for site in runner.sites]
+        _stop_accepting(sites)
+        await asyncio.sleep(STOP_POLL_S)
+        for site in sites:
+            await site.stop()
         servers = [runner.server for runner in self._runners if runner.server]
         empty_polls = 0
         while empty_polls < EMPTY_POLLS:
--- a/packages/standins/src/damasksaddle_standins/faults/fleet.py
+++ b/packages/standins/src/damasksaddle_standins/faults/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -24,9 +25,11 @@
 from damasksaddle_standins.versioned_table import VersionedRows
 
 # All of 127.0.0.0/8 is loopback, so each VM has its own address and uses the same
-# ports. The process id is part of the address, so that concurrent runs do not collide.
+# ports. Concurrent runs use different networks.
 FRONTEND_PORT, READY_PORT, DIRECTORY_PORT = 8360, 8361, 8362
 INTERNAL_PORTS = (8370, 8371)
+# Host number of the address that reserves a network; VMs have smaller ones.
+RESERVED_HOST = 254
 READY_TIMEOUT_S = 30.0
 READY_POLL_INTERVAL_S = 0.1
 SIGNAL_POLL_S = 0.005
@@ -123,10 +126,12 @@
     checker: InvariantChecker
     rows: VersionedRows = field(default_factory=VersionedRows)
     vms: list[Vm] = field(default_factory=list)
+    # Held while the run uses its network.
+    _reservation: socket.socket | None = None
 
     async def start(self, size: int) -> None:
         """Starts all VMs and waits until each one is ready to serve callers."""
-        network = f"127.{1 + os.getpid() % 250}.{next(_run_numbers) % 250}"
+        network = self._reserve_network()
         for number in range(1, size + 1):
             await self._add_vm(f"vm-{number}", f"{network}.{number}")
         for vm in self.vms:
@@ -135,6 +140,19 @@
             for vm in self.vms:
                 await self.wait_ready(vm)
 
+    def _reserve_network(self) -> str:
+        """Returns a network of loopback addresses that no other run uses."""
+        while True:
+            number = os.getpid() + next(_run_numbers)
+            network = f"127.{1 + number % 250}.{number // 250 % 250}"
+            self._reservation = socket.socket()
+            try:
+                self._reservation.bind((f"{network}.{RESERVED_HOST}", FRONTEND_PORT))
+            except OSError:
+                self._reservation.close()
+            else:
+                return network
+
     async def _add_vm(self, name: str, host: str) -> None:
         store = RowsServer(self.rows)
         runner = web.AppRunner(store.app(), access_log=None)
@@ -178,3 +196,5 @@
             await vm.caller_proxy.stop()
             await vm.store_proxy.stop()
             await vm.store_runner.cleanup()
+        if self._reservation is not None:
+            self._reservation.close()
--- a/packages/standins/src/damasksaddle_standins/faults/kept_connections.py
+++ b/packages/standins/src/damasksaddle_standins/faults/kept_connections.py
@@ -10,7 +10,7 @@
 import itertools
 import json
 import random
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from damasksaddle.platform import Put, row_key
@@ -38,6 +38,8 @@
 # crossed the request.
 CROSSING_S = 0.2
 MAX_HEAD_BYTES = 65536
+# Interval of the samples of the delay of this process, and their number in 0.5 s.
+LAG_INTERVAL_S, LAG_SAMPLES = 0.02, 25
 
 _request_ids = itertools.count(1)
 
@@ -49,10 +51,21 @@
     statuses: Counter[str] = field(default_factory=Counter)
     ran: set[str] = field(default_factory=set)
     lost: list[str] = field(default_factory=list)
+    # How late this process noticed events lately, newest last.
+    lags_s: deque[float] = field(default_factory=lambda: deque(maxlen=LAG_SAMPLES))
     # Statuses of requests by route, for requests of calm times.
     by_route: dict[str, Counter[int]] = field(default_factory=dict)
 
 
+async def measure_lag(observations: Observations) -> None:
+    """Records how late this process, which may be short of CPU time, notices events."""
+    while True:
+        started_s = boottime_s()
+        await asyncio.sleep(LAG_INTERVAL_S)
+        lag_s = boottime_s() - started_s - LAG_INTERVAL_S
+        observations.lags_s.append(lag_s)
+
+
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
     """Returns the first line and the headers, whose names are in lower case."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -259,5 +272,6 @@
         self.observations.statuses["lost"] += 1
         self.observations.lost.append(
             f"{now_s - self.started_s:.3f} {prefix}{request_id} at {self.vm.name}: "
-            f"ran {ran}, status {status}, {waited_s:.3f} s after its last byte"
+            f"ran {ran}, status {status}, {waited_s:.3f} s after its last byte, "
+            f"noticed up to {max(self.observations.lags_s):.3f} s late"
         )
--- a/packages/standins/src/damasksaddle_standins/faults/stops.py
+++ b/packages/standins/src/damasksaddle_standins/faults/stops.py
@@ -25,6 +25,7 @@
     FramingUpstream,
     KeptCaller,
     Observations,
+    measure_lag,
 )
 from damasksaddle_standins.faults.operator import Operator
 from damasksaddle_standins.faults.traffic import LOOKUP, PAYMENT, RESUMABLE_TURN
@@ -213,6 +214,7 @@
         busy = await _start_busy_processes(busy_processes)
         started_s = boottime_s()
         until_s = started_s + duration_s
+        lag = asyncio.create_task(measure_lag(observations))
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(run.stop_in_turn(until_s - COOLDOWN_S))
             tasks.create_task(run.change_routes(until_s - COOLDOWN_S))
@@ -227,6 +229,7 @@
                         started_s,
                     )
                     tasks.create_task(caller.run(until_s))
+        lag.cancel()
         run.check()
         return run.report
     finally:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from typing import Any
 
 import aiohttp
 import logbook
@@ -217,3 +219,24 @@
         assert b"filed" in await reader.read()
         await stop
         writer.close()
+
+
+async def test_a_connection_accepted_as_a_stop_begins_is_closed(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against a connection that stays open and silent until the process ends."""
+    async with running_gateway(rows, table, address_ttl_s=0.1, grace_s=6.0) as gateway:
+        await gateway.drain()
+        runner = gateway._runners[0]
+        server = next(iter(runner.sites))._server
+        listener = server.sockets[0]._sock
+        connection = socket.create_connection(listener.getsockname())
+        stop = asyncio.create_task(gateway.stop())
+        # What the loop does when the listener is readable, in the turn of the stop.
+        loop: Any = asyncio.get_running_loop()
+        loop._accept_connection(runner.server, listener, None, server)
+        reader, writer = await asyncio.open_connection(sock=connection)
+        async with asyncio.timeout(0.5):
+            assert await reader.read() == b""
+        await stop
+        writer.close()
