--- a/packages/standins/src/damasksaddle_standins/faults/kept_connections.py
+++ b/packages/standins/src/damasksaddle_standins/faults/kept_connections.py
@@ -143,28 +143,31 @@
         self, writer: asyncio.StreamWriter, path: str, request_id: str
     ) -> bool:
         """Sends a response; returns whether the connection stays open."""
+        is_stream = self.service == "llm"
         framing = self.rng.choice(("length", "chunked", "close"))
-        body = f"{path}|{request_id}".encode()
+        if is_stream and framing == "length":
+            framing = "chunked"
+        pieces = [f"{path}|{request_id}".encode()]
+        if is_stream:
+            pieces = [f"id: {n}\ndata: {path}\n\n".encode() for n in range(EVENTS)]
+        else:
+            is_long = self.rng.random() < LONG_WORK_SHARE
+            await asyncio.sleep(LONG_WORK_S if is_long else WORK_S)
         head = [
             "HTTP/1.1 200 OK",
             f"X-Request-Id: {request_id}",
             f"X-Server-Signature: {self.id}",
         ]
-        pieces = [body]
-        if self.service == "llm":
-            pieces = [f"id: {n}\ndata: {path}\n\n".encode() for n in range(EVENTS)]
+        if is_stream:
             head.append("Content-Type: text/event-stream")
-        elif framing == "length":
-            head.append(f"Content-Length: {len(body)}")
-        if framing == "chunked" or (self.service == "llm" and framing == "length"):
-            framing = "chunked"
-            head.append("Transfer-Encoding: chunked")
-        if self.service != "llm":
-            is_long = self.rng.random() < LONG_WORK_SHARE
-            await asyncio.sleep(LONG_WORK_S if is_long else WORK_S)
+        match framing:
+            case "length":
+                head.append(f"Content-Length: {len(pieces[0])}")
+            case "chunked":
+                head.append("Transfer-Encoding: chunked")
         writer.write("\r\n".join([*head, "", ""]).encode())
         for piece in pieces:
-            if self.service == "llm":
+            if is_stream:
                 await asyncio.sleep(EVENT_INTERVAL_S)
             if framing == "chunked":
                 piece = f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
