--- a/packages/standins/src/damasksaddle_standins/faults/fleet.py
+++ b/packages/standins/src/damasksaddle_standins/faults/fleet.py
@@ -48,6 +48,9 @@
     store_runner: web.AppRunner
     store_proxy: Proxy
     caller_proxy: Proxy
+    grace_s: float
+    # Working tree of another build that the process runs, or None for this one.
+    source_tree: Path | None = None
     process: Process | None = None
     # Held by a fault that controls the process; a restart waits for the lock.
     process_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -72,9 +75,20 @@
                 str(self.settings_path),
                 stdout=log_file,
                 stderr=log_file,
+                env=self._environment(),
             )
         self.process = Process(process, [])
 
+    def _environment(self) -> dict[str, str]:
+        environment = dict(os.environ)
+        if self.source_tree is not None:
+            sources = [
+                *self.source_tree.glob("packages/*/src"),
+                self.source_tree / "platform" / "src",
+            ]
+            environment["PYTHONPATH"] = os.pathsep.join(map(str, sources))
+        return environment
+
     async def wait_takes_hangup(self) -> None:
         """Waits until SIGHUP would not end the process, which Python's start takes."""
         while self.is_running() and not self._takes_hangup():
@@ -108,7 +122,7 @@
             },
             "InternalPorts": list(INTERNAL_PORTS),
             "Bounds": {
-                "GraceS": GRACE_S,
+                "GraceS": self.grace_s,
                 "RevokeMs": REVOKE_S * 1000,
                 "DrainMs": DRAIN_S * 1000,
             },
@@ -126,6 +140,8 @@
     checker: InvariantChecker
     rows: VersionedRows = field(default_factory=VersionedRows)
     vms: list[Vm] = field(default_factory=list)
+    grace_s: float = GRACE_S
+    source_tree: Path | None = None
     # Held while the run uses its network.
     _reservation: socket.socket | None = None
 
@@ -171,6 +187,8 @@
             runner,
             store_proxy,
             caller_proxy,
+            self.grace_s,
+            self.source_tree,
         )
         vm.write_settings()
         self.vms.append(vm)
--- a/packages/standins/src/damasksaddle_standins/faults/kept_connections.py
+++ b/packages/standins/src/damasksaddle_standins/faults/kept_connections.py
@@ -19,17 +19,15 @@
 from damasksaddle_standins.faults.traffic import HOST
 from damasksaddle_standins.versioned_table import VersionedRows
 
-# Short deadlines let requests arrive until the end of a stop.
-DEADLINES_MS = (700, 1000, 2000)
-MAX_PAUSE_S = 0.06
 RECONNECT_DELAY_S = 0.05
 # The body of a request may arrive in pieces.
 LARGE_BODY_BYTES, LARGE_BODY_SHARE = 400_000, 0.15
 BODY_PIECES, MAX_PIECE_PAUSE_S = 6, 0.05
-# Work of a call; a few take much longer.
-WORK_S, LONG_WORK_S, LONG_WORK_SHARE = 0.06, 1.2, 0.05
+# Share of the bodies that are sent in chunks, whether they are large or not.
+CHUNKED_SHARE = 0.4
 EVENTS, EVENT_INTERVAL_S = 8, 0.05
-SLOTS = 400
+LAST_CHUNK = b"0\r\n\r\n"
+HTTP_UNAVAILABLE = 503
 # A response may be broken off this long before the deadline.
 DEADLINE_MARGIN_S = 0.1
 # A response that is this late after its deadline counts as none.
@@ -44,6 +42,36 @@
 _request_ids = itertools.count(1)
 
 
+@dataclass(frozen=True, slots=True)
+class CallerProfile:
+    """
+    How the callers of a VM use their connections.
+
+    A caller pauses for up to `max_pause_s` before each request, so a long pause leaves
+    connections that are used for the first time late in a stop.
+    """
+
+    callers_per_vm: int
+    max_pause_s: float
+    # Short deadlines let requests arrive until the end of a stop.
+    deadlines_ms: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WorkProfile:
+    """
+    How long upstreams work on a call, and how many they take at once.
+
+    Calls beyond `slots` wait for up to `max_queue_s` and are then rejected as not run.
+    """
+
+    work_s: tuple[float, float]
+    long_work_s: tuple[float, float]
+    long_share: float
+    slots: int = 400
+    max_queue_s: float = 0.0
+
+
 @dataclass(slots=True)
 class Observations:
     """What callers and upstreams saw."""
@@ -66,6 +94,11 @@
         observations.lags_s.append(lag_s)
 
 
+def make_chunk(data: bytes) -> bytes:
+    """Returns one chunk of a chunked body."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
     """Returns the first line and the headers, whose names are in lower case."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -99,7 +132,12 @@
     rows: VersionedRows
     observations: Observations
     rng: random.Random
+    work: WorkProfile
     _server: asyncio.Server | None = None
+    _slots: asyncio.Semaphore = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._slots = asyncio.Semaphore(self.work.slots)
 
     async def start(self) -> None:
         """Listens on a free port and registers."""
@@ -112,7 +150,7 @@
             "Address": f"{host}:{port}",
             "Zone": "a",
             "Version": "v1",
-            "Slots": SLOTS,
+            "Slots": self.work.slots,
             "State": "ready",
             "SeqNum": 1,
         }
@@ -132,13 +170,39 @@
                 first, headers = await read_head(reader)
                 await read_body(reader, headers)
                 request_id = headers.get("x-request-id", "")
-                self.observations.ran.add(request_id)
-                keeps = await self._respond(writer, first.split()[1], request_id)
+                if not await self._take_slot():
+                    self._reject(writer, request_id)
+                    continue
+                try:
+                    self.observations.ran.add(request_id)
+                    keeps = await self._respond(writer, first.split()[1], request_id)
+                finally:
+                    self._slots.release()
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
+    async def _take_slot(self) -> bool:
+        """Waits for a slot; returns False if the call is rejected."""
+        if not self._slots.locked():
+            return await self._slots.acquire()
+        try:
+            async with asyncio.timeout(self.work.max_queue_s):
+                return await self._slots.acquire()
+        except TimeoutError:
+            return False
+
+    @staticmethod
+    def _reject(writer: asyncio.StreamWriter, request_id: str) -> None:
+        head = [
+            f"HTTP/1.1 {HTTP_UNAVAILABLE} Full",
+            f"X-Request-Id: {request_id}",
+            "X-Not-Executed: 1",
+            "Content-Length: 0",
+        ]
+        writer.write("\r\n".join([*head, "", ""]).encode())
+
     async def _respond(
         self, writer: asyncio.StreamWriter, path: str, request_id: str
     ) -> bool:
@@ -151,8 +215,9 @@
         if is_stream:
             pieces = [f"id: {n}\ndata: {path}\n\n".encode() for n in range(EVENTS)]
         else:
-            is_long = self.rng.random() < LONG_WORK_SHARE
-            await asyncio.sleep(LONG_WORK_S if is_long else WORK_S)
+            is_long = self.rng.random() < self.work.long_share
+            range_s = self.work.long_work_s if is_long else self.work.work_s
+            await asyncio.sleep(self.rng.uniform(*range_s))
         head = [
             "HTTP/1.1 200 OK",
             f"X-Request-Id: {request_id}",
@@ -170,11 +235,11 @@
             if is_stream:
                 await asyncio.sleep(EVENT_INTERVAL_S)
             if framing == "chunked":
-                piece = f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
+                piece = make_chunk(piece)
             writer.write(piece)
             await writer.drain()
         if framing == "chunked":
-            writer.write(b"0\r\n\r\n")
+            writer.write(LAST_CHUNK)
         return framing != "close"
 
 
@@ -192,6 +257,7 @@
     observations: Observations
     rng: random.Random
     started_s: float
+    profile: CallerProfile
 
     async def run(self, until_s: float) -> None:
         """Sends requests until `until_s`."""
@@ -204,8 +270,10 @@
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
             try:
-                while boottime_s() < until_s and await self._send(*streams):
-                    await asyncio.sleep(self.rng.uniform(0, MAX_PAUSE_S))
+                keeps = True
+                while keeps and boottime_s() < until_s:
+                    await asyncio.sleep(self.rng.uniform(0, self.profile.max_pause_s))
+                    keeps = await self._send(*streams)
             finally:
                 streams[1].transport.abort()
 
@@ -215,7 +283,7 @@
         """Sends a request; returns whether the connection can be used again."""
         request_id = f"{next(_request_ids):016x}"
         prefix = self.rng.choice(self.prefixes)
-        deadline_ms = self.rng.choice(DEADLINES_MS)
+        deadline_ms = self.rng.choice(self.profile.deadlines_ms)
         sent_s, written_s, status = boottime_s(), 0.0, 0
         headers: dict[str, str] = {}
         try:
@@ -243,23 +311,30 @@
         deadline_ms: int,
     ) -> None:
         is_large = self.rng.random() < LARGE_BODY_SHARE
+        is_chunked = self.rng.random() < CHUNKED_SHARE
         body = b"x" * (LARGE_BODY_BYTES if is_large else 600)
+        framing = f"Content-Length: {len(body)}"
+        if is_chunked:
+            framing = "Transfer-Encoding: chunked"
         head = [
             f"POST {prefix}{request_id} HTTP/1.1",
             f"Host: {HOST}",
             f"Authorization: Token {self.key}",
             f"X-Request-Id: {request_id}",
             f"X-Deadline-Ms: {deadline_ms}",
-            f"Content-Length: {len(body)}",
+            framing,
         ]
         writer.write("\r\n".join([*head, "", ""]).encode())
-        pieces = BODY_PIECES if is_large else 1
-        size = len(body) // pieces
-        for number in range(pieces):
-            writer.write(body[number * size : (number + 1) * size])
-            if is_large:
+        size = -(-len(body) // (BODY_PIECES if is_large else 1))
+        for start in range(0, len(body), size):
+            piece = body[start : start + size]
+            if is_chunked:
+                piece = make_chunk(piece)
+            writer.write(piece)
+            if is_large or is_chunked:
                 await asyncio.sleep(self.rng.uniform(0, MAX_PIECE_PAUSE_S))
-        writer.write(body[pieces * size :])
+        if is_chunked:
+            writer.write(LAST_CHUNK)
         await writer.drain()
 
     def _record_failure(
--- a/packages/standins/src/damasksaddle_standins/faults/stops.py
+++ b/packages/standins/src/damasksaddle_standins/faults/stops.py
@@ -20,18 +20,20 @@
 from damasksaddle.platform import Put, row_key
 from damasksaddle.utils import boottime_s
 from damasksaddle_standins.faults.fleet import Fleet, Vm
-from damasksaddle_standins.faults.invariants import GRACE_S, InvariantChecker
+from damasksaddle_standins.faults.invariants import InvariantChecker
 from damasksaddle_standins.faults.kept_connections import (
+    CallerProfile,
     FramingUpstream,
     KeptCaller,
     Observations,
+    WorkProfile,
     measure_lag,
 )
 from damasksaddle_standins.faults.operator import Operator
 from damasksaddle_standins.faults.traffic import LOOKUP, PAYMENT, RESUMABLE_TURN
 
-WORKSPACE = "ws"
-RATES = {WORKSPACE: (4000.0, 4000.0)}
+WORKSPACE, LIMITED_WORKSPACE = "ws", "limited"
+AMPLE_RATE = (4000.0, 4000.0)
 FIRST_PREFIXES = [PAYMENT.prefix, LOOKUP.prefix, RESUMABLE_TURN.prefix]
 ENGINES, DESKS = 2, 3
 MAX_START_PAUSE_S = 2.0
@@ -46,6 +48,10 @@
 MIN_ADDED_SHARE = 0.25
 COOLDOWN_S = 6.0
 SLOW_STORE_S = 0.15
+# The grace period of the users' machines. Their longest request fits into it.
+GRACE_S = 8.0
+CALL_S, LONG_CALL_S = (0.06, 0.06), (1.2, 1.2)
+BUSY_CALLERS = CallerProfile(6, max_pause_s=0.06, deadlines_ms=(700, 1000, 2000))
 # Entries of other writers; none of them names an upstream.
 ODD_ENTRIES = (
     "[" * 3000,
@@ -60,6 +66,43 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class Load:
+    """
+    What callers ask and what upstreams do during a run.
+
+    Callers of the limited workspace may send `limited_rate_per_s` requests and a burst
+    of as many; the others are not limited.
+    """
+
+    callers: tuple[CallerProfile, ...] = (BUSY_CALLERS,)
+    limited_callers: tuple[CallerProfile, ...] = ()
+    limited_rate_per_s: float = 0.0
+    work: WorkProfile = WorkProfile(CALL_S, LONG_CALL_S, long_share=0.05)
+
+    def rates(self) -> dict[str, tuple[float, float]]:
+        """Returns the rate and the burst of each workspace."""
+        limited = (self.limited_rate_per_s, self.limited_rate_per_s)
+        return {WORKSPACE: AMPLE_RATE, LIMITED_WORKSPACE: limited}
+
+    def callers_by_workspace(self) -> list[tuple[str, CallerProfile]]:
+        """Returns the callers of each VM."""
+        return [
+            *((WORKSPACE, profile) for profile in self.callers),
+            *((LIMITED_WORKSPACE, profile) for profile in self.limited_callers),
+        ]
+
+
+# Connections that were opened before a stop and are used for the first time during it,
+# up to its end, by callers of long calls and by callers that wait for their rate.
+RESERVE_LOAD = Load(
+    callers=(CallerProfile(60, max_pause_s=9.0, deadlines_ms=(2000, 3000)),),
+    limited_callers=(CallerProfile(20, max_pause_s=9.0, deadlines_ms=(2000, 3000)),),
+    limited_rate_per_s=12.0,
+    work=WorkProfile((0.04, 0.3), (0.3, 1.4), long_share=0.5),
+)
+
+
 @dataclass(slots=True)
 class StopReport:
     """What a run saw; it failed if `broken` is not empty."""
@@ -184,15 +227,20 @@
     seed: int,
     duration_s: float,
     vms: int,
-    callers_per_vm: int = 6,
+    load: Load = Load(),
     busy_processes: int = 0,
+    source_tree: Path | None = None,
 ) -> StopReport:
-    """Runs a fleet for `duration_s` under stops drawn from the seed."""
+    """
+    Runs a fleet for `duration_s` under stops drawn from the seed.
+
+    `source_tree` is the working tree of another build that is to be run.
+    """
     directory = Path(tempfile.mkdtemp(prefix=f"stops-{seed}-"))
     rng, observations = random.Random(seed), Observations()
     checker = InvariantChecker()
-    fleet = Fleet(directory, checker)
-    operator = Operator(fleet.rows, checker, RATES)
+    fleet = Fleet(directory, checker, grace_s=GRACE_S, source_tree=source_tree)
+    operator = Operator(fleet.rows, checker, load.rates())
     operator.initialize()
     upstreams = [
         FramingUpstream(
@@ -201,6 +249,7 @@
             fleet.rows,
             observations,
             random.Random(f"{seed} {service} {number}"),
+            load.work,
         )
         for service, count in (("llm", ENGINES), ("desk", DESKS))
         for number in range(count)
@@ -219,16 +268,18 @@
             tasks.create_task(run.stop_in_turn(until_s - COOLDOWN_S))
             tasks.create_task(run.change_routes(until_s - COOLDOWN_S))
             for vm in fleet.vms:
-                for number in range(callers_per_vm):
-                    caller = KeptCaller(
-                        vm,
-                        operator.keys[WORKSPACE],
-                        run.prefixes,
-                        observations,
-                        random.Random(f"{seed} {vm.name} {number}"),
-                        started_s,
-                    )
-                    tasks.create_task(caller.run(until_s))
+                for workspace, profile in load.callers_by_workspace():
+                    for number in range(profile.callers_per_vm):
+                        caller = KeptCaller(
+                            vm,
+                            operator.keys[workspace],
+                            run.prefixes,
+                            observations,
+                            random.Random(f"{seed} {vm.name} {workspace} {number}"),
+                            started_s,
+                            profile,
+                        )
+                        tasks.create_task(caller.run(until_s))
         lag.cancel()
         run.check()
         return run.report
