Log each request that the end of a process cuts

The users' record has no line that names a lost request. On such a request leaves "The caller disconnected.", the same line as for a caller that left, without its age or progress, and nothing at all if its response was ready and not yet written; so the logs could not tell the hypotheses apart.

A stop now logs each connection with a request, or with part of a response, before it is closed: id, phase (admission, queued, upstream, response), workspace, route, upstreams tried, age and time left, and counts it (requests.cut by phase). A caller that leaves has the same fields. A line tells how many requests run when the listeners close.

The new test fails without the change: no such line, and a line that says that the caller left.

--- a/packages/core/src/damasksaddle/utils/metrics.py
+++ b/packages/core/src/damasksaddle/utils/metrics.py
@@ -34,6 +34,7 @@
     STORE_SLOWDOWNS = "store.slow"
     INTERRUPTED_RESPONSES = "answers.broken"
     CALLER_DISCONNECTS = "callers.left"
+    REQUESTS_CUT = "requests.cut"
     RATE_TOKENS = "rate.tokens"
     UPSTREAM_LIMITS = "upstream_limits"
     QUARANTINES = "quarantines"
@@ -73,6 +74,10 @@
     Counter.CALLER_DISCONNECTS: (
         "callers that closed their connection before the answer"
     ),
+    Counter.REQUESTS_CUT: (
+        "requests that the end of the process left without a response, by how far they "
+        "had come"
+    ),
     Counter.RATE_TOKENS: (
         "tokens of workspaces' rates: drawn from the store, returned to it unused, "
         "granted to VMs, used and expired there"
--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -300,6 +300,12 @@
             ):
                 break
             await asyncio.sleep(STOP_POLL_S)
+        log.info(
+            "Closing the listeners.",
+            vm=settings.vm,
+            running=self.request_handler.active_requests,
+            left_ms=round((deadline_s - boottime_s()) * 1000),
+        )
 
     async def _finish_requests(self) -> None:
         """
@@ -325,8 +331,18 @@
             if boottime_s() >= self._stop_deadline_s + CONNECTION_CLOSE_S:
                 return
 
+    def _unfinished_connections(self) -> list[asyncio.BaseTransport]:
+        """Returns the callers' connections with a request or part of a response."""
+        server = self._runners[0].server if self._runners else None
+        return [
+            connection.transport
+            for connection in (server.connections if server else [])
+            if connection._request_in_progress and connection.transport is not None
+        ]
+
     async def on_stop(self) -> None:
         await self._finish_requests()
+        self.request_handler.record_cut(self._unfinished_connections())
         for runner in self._runners:
             await runner.cleanup()
         await self.upstreams.stop()
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -8,6 +8,10 @@
 
 import asyncio
 import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from weakref import WeakKeyDictionary
 
 from aiohttp import hdrs, web
 
@@ -145,6 +149,59 @@
         raise HeadersTooLarge
 
 
+class Phase(StrEnum):
+    """How far a request has come."""
+
+    ADMISSION = "admission"
+    QUEUED = "queued"
+    UPSTREAM = "upstream"
+    RESPONSE = "response"
+
+
+@dataclass(slots=True, eq=False)
+class _Progress:
+    """
+    The progress of the last request on a connection.
+
+    `call` is set once the request has a route, until its response is ready. `was_cut`
+    is set if the end of the process cancels the request.
+    """
+
+    request_id: str
+    started_s: float
+    call: Call | None = None
+    has_response: bool = False
+    was_cut: bool = False
+
+    @property
+    def phase(self) -> Phase:
+        if self.has_response:
+            return Phase.RESPONSE
+        if self.call is None:
+            return Phase.ADMISSION
+        if self.call.response is not None:
+            return Phase.RESPONSE
+        return Phase.UPSTREAM if self.call.may_have_run else Phase.QUEUED
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns what explains why the caller has no whole response yet."""
+        call = self.call
+        return {
+            "request": self.request_id,
+            "phase": self.phase,
+            "workspace": call.workspace.name if call and call.workspace else "",
+            "route": call.route.name if call else "",
+            "tried": ",".join(call.tried_upstreams) if call else "",
+            "after_ms": round((boottime_s() - self.started_s) * 1000),
+            "left_ms": round(call.time_left_s() * 1000) if call else None,
+        }
+
+    def finish(self) -> None:
+        """Releases what only a request without a response needs."""
+        self.call = None
+        self.has_response = True
+
+
 class RequestHandler:
     """Serves the requests of callers."""
 
@@ -181,6 +238,10 @@
         # stops serving.
         self._addresses_expire_s = self._stop_deadline_s = math.inf
         self.active_requests = 0
+        # By connection, for requests of connections that are open.
+        self._progress: WeakKeyDictionary[asyncio.BaseTransport, _Progress] = (
+            WeakKeyDictionary()
+        )
 
     def start_draining(self, addresses_expire_s: float, stop_deadline_s: float) -> None:
         """
@@ -213,9 +274,12 @@
         """Serves one request of a caller."""
         started_s = boottime_s()
         metadata = self._codec.decode_request(request.headers)
+        progress = _Progress(metadata.request_id, started_s)
+        if request.transport is not None:
+            self._progress[request.transport] = progress
         self.active_requests += 1
         try:
-            call = await self._admit(request, metadata, started_s)
+            call = await self._admit(request, metadata, progress)
             count(Counter.REQUESTS)
             response = await self._serve(request, call)
             if self.draining:
@@ -225,12 +289,24 @@
         except Refusal as error:
             return self._refuse(metadata, error, started_s)
         except asyncio.CancelledError:
-            count(Counter.CALLER_DISCONNECTS)
-            log.info("The caller disconnected.", request=metadata.request_id)
+            if not progress.was_cut:
+                count(Counter.CALLER_DISCONNECTS)
+                log.info("The caller disconnected.", **progress.log_fields())
             raise
         finally:
+            progress.finish()
             self.active_requests -= 1
 
+    def record_cut(self, connections: Iterable[asyncio.BaseTransport]) -> None:
+        """Logs requests whose connections the end of the process cuts."""
+        for connection in connections:
+            progress = self._progress.get(connection)
+            if progress is not None:
+                progress.was_cut = True
+                fields = progress.log_fields()
+                count(Counter.REQUESTS_CUT, progress.phase)
+                log.warning("The end of the process cut a request.", **fields)
+
     def _refuse(
         self, metadata: RequestMetadata, error: Refusal, started_s: float
     ) -> web.Response:
@@ -262,8 +338,9 @@
         return response
 
     async def _admit(
-        self, request: web.BaseRequest, metadata: RequestMetadata, started_s: float
+        self, request: web.BaseRequest, metadata: RequestMetadata, progress: _Progress
     ) -> Call:
+        started_s = progress.started_s
         limits = self._limits()
         body_time_ms = min(
             limits.idle_timeout_ms, metadata.deadline_ms or limits.idle_timeout_ms
@@ -302,6 +379,7 @@
             events=EventSplitter(metadata.last_event_id),
             draining=self.draining,
         )
+        progress.call = call
         if self._may_be_cut(call):
             raise Stopping(retry_after_s=STOPPING_RETRY_S)
         if _exceeds_engine_memory(call):
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import logbook
+import pytest
 from aiohttp import web
 
 from damasksaddle.platform import Put
@@ -166,6 +167,29 @@
             await gateway.stop()
 
 
+async def test_a_request_that_a_stop_cuts_is_logged(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against a lost request that left no line with its id, age and progress."""
+    async with (
+        running_gateway(rows, table, grace_s=1.6) as gateway,
+        aiohttp.ClientSession() as session,
+    ):
+        running = asyncio.create_task(_file_report(session, _url(gateway), work_s=2.9))
+        while not gateway.request_handler.active_requests:
+            await asyncio.sleep(0.01)
+        with logbook.TestHandler() as records:
+            await _stop(gateway)
+        with pytest.raises(aiohttp.ServerDisconnectedError):
+            await running
+    cut = [record for record in records.records if "cut" in record.message]
+    assert [record.extra["fields"]["request"] for record in cut] == ["r1"]
+    fields = cut[0].extra["fields"]
+    assert (fields["phase"], fields["tried"]) == ("upstream", "i-1")
+    assert fields["after_ms"] > 500 and fields["left_ms"] > 500
+    assert not any("disconnected" in record.message for record in records.records)
+
+
 def _head(length: int, work_s: float) -> bytes:
     headers = {
         "Host": "desk.example",
