Stop gateways under callers that use their connections late

Callers that reuse a connection at once have none left then, because a response in a stop closes it. `--load reserved`, now the default, adds them, with calls of up to 1.4 s and callers that wait for their rate; `--load busy` is what there was. `--tree` runs the gateways of another working tree.

--- a/packages/standins/src/damasksaddle_standins/__main__.py
+++ b/packages/standins/src/damasksaddle_standins/__main__.py
@@ -14,7 +14,7 @@
 from damasksaddle_standins.costs import markdown_table, measure
 from damasksaddle_standins.demo import run_demo
 from damasksaddle_standins.engine import EngineSettings, ModelEngine
-from damasksaddle_standins.faults import run_fault_injection, run_stops
+from damasksaddle_standins.faults import LOADS, run_fault_injection, run_stops
 from damasksaddle_standins.gateway_load import run_store_bench
 from damasksaddle_standins.platform import MemoryObjects, MemoryTable
 from damasksaddle_standins.recording import Recorder
@@ -155,11 +155,24 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--minutes", default=0.5, show_default=True, help="Minutes of traffic.")
 @click.option("--vms", default=4, show_default=True)
-@click.option("--callers", default=6, show_default=True, help="Callers of each VM.")
+@click.option(
+    "--load",
+    type=click.Choice(list(LOADS)),
+    default="reserved",
+    show_default=True,
+    help="Callers and upstreams.",
+)
 @click.option("--busy", default=0, show_default=True, help="Processes that only load.")
-def stops(seed: int, minutes: float, vms: int, callers: int, busy: int) -> None:
+@click.option(
+    "--tree",
+    type=click.Path(path_type=Path, file_okay=False, exists=True),
+    help="Working tree of another build to run.",
+)
+def stops(
+    seed: int, minutes: float, vms: int, load: str, busy: int, tree: Path | None
+) -> None:
     """Stops gateway processes in turn and checks that no request is lost."""
-    report = asyncio.run(run_stops(seed, minutes * 60, vms, callers, busy))
+    report = asyncio.run(run_stops(seed, minutes * 60, vms, LOADS[load], busy, tree))
     click.echo(report.as_json())
     sys.exit(1 if report.broken else 0)
 
--- a/packages/standins/src/damasksaddle_standins/faults/__init__.py
+++ b/packages/standins/src/damasksaddle_standins/faults/__init__.py
@@ -9,6 +9,6 @@
 """
 
 from damasksaddle_standins.faults.run import FaultReport, run_fault_injection
-from damasksaddle_standins.faults.stops import StopReport, run_stops
+from damasksaddle_standins.faults.stops import LOADS, StopReport, run_stops
 
-__all__ = ["FaultReport", "run_fault_injection", "StopReport", "run_stops"]
+__all__ = ["FaultReport", "LOADS", "run_fault_injection", "StopReport", "run_stops"]
--- a/packages/standins/src/damasksaddle_standins/faults/stops.py
+++ b/packages/standins/src/damasksaddle_standins/faults/stops.py
@@ -20,7 +20,7 @@
 from damasksaddle.platform import Put, row_key
 from damasksaddle.utils import boottime_s
 from damasksaddle_standins.faults.fleet import Fleet, Vm
-from damasksaddle_standins.faults.invariants import InvariantChecker
+from damasksaddle_standins.faults.invariants import GRACE_S, InvariantChecker
 from damasksaddle_standins.faults.kept_connections import (
     CallerProfile,
     FramingUpstream,
@@ -48,8 +48,8 @@
 MIN_ADDED_SHARE = 0.25
 COOLDOWN_S = 6.0
 SLOW_STORE_S = 0.15
-# The grace period of the users' machines. Their longest request fits into it.
-GRACE_S = 8.0
+# A grace period into which the longest request fits, as on the users' machines.
+FITTING_GRACE_S = 8.0
 CALL_S, LONG_CALL_S = (0.06, 0.06), (1.2, 1.2)
 BUSY_CALLERS = CallerProfile(6, max_pause_s=0.06, deadlines_ms=(700, 1000, 2000))
 # Entries of other writers; none of them names an upstream.
@@ -79,6 +79,7 @@
     limited_callers: tuple[CallerProfile, ...] = ()
     limited_rate_per_s: float = 0.0
     work: WorkProfile = WorkProfile(CALL_S, LONG_CALL_S, long_share=0.05)
+    grace_s: float = GRACE_S
 
     def rates(self) -> dict[str, tuple[float, float]]:
         """Returns the rate and the burst of each workspace."""
@@ -94,13 +95,19 @@
 
 
 # Connections that were opened before a stop and are used for the first time during it,
-# up to its end, by callers of long calls and by callers that wait for their rate.
-RESERVE_LOAD = Load(
-    callers=(CallerProfile(60, max_pause_s=9.0, deadlines_ms=(2000, 3000)),),
-    limited_callers=(CallerProfile(20, max_pause_s=9.0, deadlines_ms=(2000, 3000)),),
-    limited_rate_per_s=12.0,
-    work=WorkProfile((0.04, 0.3), (0.3, 1.4), long_share=0.5),
-)
+# up to its end, also by callers that wait for their rate.
+RESERVED_CALLERS = CallerProfile(60, max_pause_s=9.0, deadlines_ms=(2000, 3000))
+LIMITED_CALLERS = CallerProfile(20, max_pause_s=9.0, deadlines_ms=(2000, 3000))
+LOADS = {
+    "busy": Load(),
+    "reserved": Load(
+        callers=(BUSY_CALLERS, RESERVED_CALLERS),
+        limited_callers=(LIMITED_CALLERS,),
+        limited_rate_per_s=6.0,
+        work=WorkProfile((0.03, 0.08), (0.3, 1.4), long_share=0.3),
+        grace_s=FITTING_GRACE_S,
+    ),
+}
 
 
 @dataclass(slots=True)
@@ -141,10 +148,10 @@
             self.report.stops += 1
             vm.signal(signal.SIGTERM)
             if self.rng.random() < REPEATED_SHARE:
-                await asyncio.sleep(self.rng.uniform(0, GRACE_S / 2))
+                await asyncio.sleep(self.rng.uniform(0, self.fleet.grace_s / 2))
                 vm.signal(signal.SIGTERM)
             try:
-                async with asyncio.timeout(GRACE_S):
+                async with asyncio.timeout(self.fleet.grace_s):
                     assert vm.process is not None
                     await vm.process.wait()
             except TimeoutError:
@@ -227,7 +234,7 @@
     seed: int,
     duration_s: float,
     vms: int,
-    load: Load = Load(),
+    load: Load,
     busy_processes: int = 0,
     source_tree: Path | None = None,
 ) -> StopReport:
@@ -239,7 +246,7 @@
     directory = Path(tempfile.mkdtemp(prefix=f"stops-{seed}-"))
     rng, observations = random.Random(seed), Observations()
     checker = InvariantChecker()
-    fleet = Fleet(directory, checker, grace_s=GRACE_S, source_tree=source_tree)
+    fleet = Fleet(directory, checker, grace_s=load.grace_s, source_tree=source_tree)
     operator = Operator(fleet.rows, checker, load.rates())
     operator.initialize()
     upstreams = [
--- a/tests/standins/test_faults.py
+++ b/tests/standins/test_faults.py
@@ -2,17 +2,19 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
-from damasksaddle_standins.faults import run_fault_injection, run_stops
+from damasksaddle_standins.faults import LOADS, run_fault_injection, run_stops
 from damasksaddle_standins.faults.invariants import (
     Attempt,
     InvariantChecker,
     ReceivedResponse,
 )
 from damasksaddle_standins.faults.proxy import Proxy
+from damasksaddle_standins.faults.stops import BUSY_CALLERS, Load
 from damasksaddle_standins.faults.traffic import (
     BUDGET_TOKENS,
     EVENTS_PER_TURN,
@@ -275,6 +277,15 @@
 @pytest.mark.processes
 async def test_planned_stops_lose_no_request() -> None:
     """Guards against requests that a process reads and never answers."""
-    report = await run_stops(seed=3, duration_s=20.0, vms=3, callers_per_vm=4)
+    load = Load((replace(BUSY_CALLERS, callers_per_vm=4),))
+    report = await run_stops(seed=3, duration_s=20.0, vms=3, load=load)
+    assert report.broken == [], report.as_json()
+    assert report.stops > 1
+
+
+@pytest.mark.processes
+async def test_planned_stops_cut_no_call_on_a_connection_used_late() -> None:
+    """Guards against calls that are taken late in a stop and cut at its end."""
+    report = await run_stops(seed=4, duration_s=22.0, vms=3, load=LOADS["reserved"])
     assert report.broken == [], report.as_json()
     assert report.stops > 1
