End the wait for a workspace's rate at the request's deadline

What callers saw: beside a busy machine, requests to a VM that stopped were closed without an answer, 0.4 to 1.2 s after their last byte. They had not run.

A stop counts on each request ending at its deadline; these were still admitted long after theirs. In calm the same wait keeps a caller beyond the route's timeout.

Cause: the wait for the rate was the one part of a request outside of the timeout of its deadline. Its own limit is not one: up to three VMs are asked in turn, each with its own timeout, longer ones while the store is slow.

The wait ends at the deadline now, with 503 store_unavailable; the request has not run. Cancelling it is what already happens when the caller leaves. The new test, in which no VM grants a token, had no answer after 0.5 s with a deadline of 0.2 s before.

--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -28,6 +28,7 @@
     RouteNotFound,
     SizeLimitExceeded,
     Stopping,
+    StoreUnavailable,
     StreamVersionUnknown,
     UpstreamUnavailable,
 )
@@ -42,6 +43,7 @@
 )
 from damasksaddle_gateway.calls import Call, request_fingerprints
 from damasksaddle_gateway.config_watcher import ConfigWatcher
+from damasksaddle_gateway.coordinators import STORE_RETRY_S
 from damasksaddle_gateway.events import EventSplitter
 from damasksaddle_gateway.interfaces import HeaderCodec, RequestMetadata
 from damasksaddle_gateway.membership import Membership
@@ -57,6 +59,7 @@
     RoutingConfig,
     Streaming,
     Upstream,
+    Workspace,
     is_resumable,
     is_retryable,
 )
@@ -385,15 +388,28 @@
         if _exceeds_engine_memory(call):
             raise UpstreamUnavailable("the request exceeds an engine's memory")
         if workspace is not None:
-            await self._rate_limiter.acquire(
-                workspace,
-                time_ms / 1000 * _rate_wait_share(route.kind),
-                metadata,
-                route.priority == config.most_urgent_priority(),
-            )
-            measure(Timing.RATE_WAIT, (boottime_s() - started_s) * 1000)
+            urgent = route.priority == config.most_urgent_priority()
+            await self._acquire_rate(call, workspace, time_ms / 1000, urgent)
         return call
 
+    async def _acquire_rate(
+        self, call: Call, workspace: Workspace, time_s: float, urgent: bool
+    ) -> None:
+        """Takes a token of the workspace's rate; raises a refusal at the deadline."""
+        wait_s = time_s * _rate_wait_share(call.route.kind)
+        try:
+            # Other VMs and the store may respond later than the wait allows.
+            async with asyncio.timeout(max(0.0, call.time_left_s())):
+                await self._rate_limiter.acquire(
+                    workspace, wait_s, call.metadata, urgent
+                )
+        except TimeoutError as error:
+            raise StoreUnavailable(
+                f"{workspace.name}: no token before the deadline",
+                retry_after_s=STORE_RETRY_S,
+            ) from error
+        measure(Timing.RATE_WAIT, (boottime_s() - call.started_s) * 1000)
+
     def _limits(self) -> Limits:
         config = self._config_watcher.config
         return Limits() if config is None else config.limits
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -427,6 +427,21 @@
         assert status == 504
 
 
+async def test_a_request_that_waits_for_its_rate_ends_at_its_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against holding a request beyond its deadline for want of a token."""
+
+    async def never_grant(*args: object) -> None:
+        await asyncio.sleep(5)
+
+    monkeypatch.setattr(RateLimiter, "acquire", never_grant)
+    async with run_gateway(respond_ok) as gateway, asyncio.timeout(0.5):
+        status, body, _ = await gateway.send("/once/x", X_Deadline_Ms="200")
+        assert (status, body) == (503, b"store_unavailable")
+        assert not gateway.received
+
+
 async def test_concurrent_requests_stay_within_the_upstream_limit() -> None:
     """Guards against requests that are lost because an upstream resets connections."""
     active = peak = 0
