Refuse a request that a stop would cut before its body arrives

What callers saw: requests that reached a VM late in its stop were closed without an answer while their bodies were still on the way.

Cause: whether a stop can finish a request was decided after its body, which may take as long as its deadline. A VM that had known from the head that it would refuse the request read on until its process ended. The same for a request without a deadline of its own, whose body was waited for beyond the timeout of its route.

The decision is made at the head now, and again once the body is there; the refusal is a promise that the request has not run, so that callers go to another VM at once. The new test got nothing within 0.2 s before.

--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -55,6 +55,7 @@
     AtMostOnce,
     Idempotent,
     Limits,
+    Route,
     RouteKind,
     RoutingConfig,
     Streaming,
@@ -123,6 +124,21 @@
         raise BodyTimeout from error
 
 
+def _find_route(request: web.BaseRequest, config: RoutingConfig) -> Route | None:
+    path = request.raw_path.partition("?")[0]
+    return config.find_route(request.headers.get(hdrs.HOST, ""), path)
+
+
+def _time_ms(route: Route, metadata: RequestMetadata) -> float:
+    """Returns how long a request may take."""
+    return min(route.timeout_ms, metadata.deadline_ms or route.timeout_ms)
+
+
+def _deadline_s(started_s: float, route: Route, metadata: RequestMetadata) -> float:
+    """Returns when a request times out."""
+    return started_s + _time_ms(route, metadata) / 1000 - RESPONSE_MARGIN_S
+
+
 def _rate_wait_share(kind: RouteKind) -> float:
     """Returns the share of its time that a request may wait for its rate."""
     match kind:
@@ -256,10 +272,11 @@
         self._addresses_expire_s = addresses_expire_s
         self._stop_deadline_s = stop_deadline_s
 
-    def _may_be_cut(self, call: Call) -> bool:
-        """Tells whether a late request might run when the process ends."""
-        is_late = call.started_s > self._addresses_expire_s
-        return is_late and call.deadline_s > self._stop_deadline_s
+    def _check_stop(self, started_s: float, deadline_s: float) -> None:
+        """Raises `Stopping` for a late request that may run when the process ends."""
+        is_late = started_s > self._addresses_expire_s
+        if is_late and deadline_s > self._stop_deadline_s:
+            raise Stopping(retry_after_s=STOPPING_RETRY_S)
 
     def _max_config_age_s(self) -> float:
         return self.key_revocation_ms / 1000 * CONFIG_AGE_SHARE
@@ -348,12 +365,17 @@
         body_time_ms = min(
             limits.idle_timeout_ms, metadata.deadline_ms or limits.idle_timeout_ms
         )
+        config = self._config_watcher.config
+        route = _find_route(request, config) if config is not None else None
+        if route is not None:
+            # The body of a request that is refused for the stop need not arrive.
+            self._check_stop(started_s, _deadline_s(started_s, route, metadata))
+            body_time_ms = min(body_time_ms, route.timeout_ms)
         body = await read_body(request, limits.max_body_bytes, body_time_ms / 1000)
         config = self._current_config()
         check_header_size(request, config.limits.max_header_bytes)
         raw_path = request.raw_path
-        path = raw_path.partition("?")[0]
-        route = config.find_route(request.headers.get(hdrs.HOST, ""), path)
+        route = _find_route(request, config)
         if route is None:
             raise RouteNotFound
         workspace = None
@@ -366,7 +388,6 @@
             raise UpstreamUnavailable(retry_after_s=NO_UPSTREAM_RETRY_S)
         fingerprints = request_fingerprints(workspace, request.method, raw_path, body)
         self._quarantine.check(fingerprints)
-        time_ms = min(route.timeout_ms, metadata.deadline_ms or route.timeout_ms)
         call = Call(
             metadata=metadata,
             route=route,
@@ -377,26 +398,26 @@
             body=body,
             fingerprints=fingerprints,
             started_s=started_s,
-            deadline_s=started_s + time_ms / 1000 - RESPONSE_MARGIN_S,
+            deadline_s=_deadline_s(started_s, route, metadata),
             last_event_id=metadata.last_event_id,
             events=EventSplitter(metadata.last_event_id),
             draining=self.draining,
         )
         progress.call = call
-        if self._may_be_cut(call):
-            raise Stopping(retry_after_s=STOPPING_RETRY_S)
+        self._check_stop(started_s, call.deadline_s)
         if _exceeds_engine_memory(call):
             raise UpstreamUnavailable("the request exceeds an engine's memory")
         if workspace is not None:
             urgent = route.priority == config.most_urgent_priority()
-            await self._acquire_rate(call, workspace, time_ms / 1000, urgent)
+            await self._acquire_rate(call, workspace, urgent)
         return call
 
     async def _acquire_rate(
-        self, call: Call, workspace: Workspace, time_s: float, urgent: bool
+        self, call: Call, workspace: Workspace, urgent: bool
     ) -> None:
         """Takes a token of the workspace's rate; raises a refusal at the deadline."""
-        wait_s = time_s * _rate_wait_share(call.route.kind)
+        time_ms = _time_ms(call.route, call.metadata)
+        wait_s = time_ms / 1000 * _rate_wait_share(call.route.kind)
         try:
             # Other VMs and the store may respond later than the wait allows.
             async with asyncio.timeout(max(0.0, call.time_left_s())):
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -153,6 +153,23 @@
         await stop
 
 
+async def test_a_request_that_a_stop_would_cut_is_refused_before_its_body(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against waiting for a body that a stop leaves without a response."""
+    async with running_gateway(rows, table, address_ttl_s=0.1, grace_s=3.0) as gateway:
+        await gateway.drain()
+        reader, writer = await asyncio.open_connection(
+            *gateway._runners[0].addresses[0][:2]
+        )
+        await asyncio.sleep(0.6)
+        writer.write(_head(200_000, 0.0) + b"x" * 1000)
+        async with asyncio.timeout(0.2):
+            assert b" 503 " in await reader.readuntil(b"stopping")
+        writer.close()
+        await gateway.stop()
+
+
 async def test_a_grace_period_that_is_too_short_is_reported(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
