--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -8,6 +8,10 @@
 
 import asyncio
 import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from weakref import WeakKeyDictionary
 
 from aiohttp import hdrs, web
 
@@ -24,6 +28,7 @@
     RouteNotFound,
     SizeLimitExceeded,
     Stopping,
+    StoreUnavailable,
     StreamVersionUnknown,
     UpstreamUnavailable,
 )
@@ -38,6 +43,7 @@
 )
 from damasksaddle_gateway.calls import Call, request_fingerprints
 from damasksaddle_gateway.config_watcher import ConfigWatcher
+from damasksaddle_gateway.coordinators import STORE_RETRY_S
 from damasksaddle_gateway.events import EventSplitter
 from damasksaddle_gateway.interfaces import HeaderCodec, RequestMetadata
 from damasksaddle_gateway.membership import Membership
@@ -49,10 +55,12 @@
     AtMostOnce,
     Idempotent,
     Limits,
+    Route,
     RouteKind,
     RoutingConfig,
     Streaming,
     Upstream,
+    Workspace,
     is_resumable,
     is_retryable,
 )
@@ -116,6 +124,21 @@
         raise BodyTimeout from error
 
 
+def _find_route(request: web.BaseRequest, config: RoutingConfig) -> Route | None:
+    path = request.raw_path.partition("?")[0]
+    return config.find_route(request.headers.get(hdrs.HOST, ""), path)
+
+
+def _time_ms(route: Route, metadata: RequestMetadata) -> float:
+    """Returns how long a request may take."""
+    return min(route.timeout_ms, metadata.deadline_ms or route.timeout_ms)
+
+
+def _deadline_s(started_s: float, route: Route, metadata: RequestMetadata) -> float:
+    """Returns when a request times out."""
+    return started_s + _time_ms(route, metadata) / 1000 - RESPONSE_MARGIN_S
+
+
 def _rate_wait_share(kind: RouteKind) -> float:
     """Returns the share of its time that a request may wait for its rate."""
     match kind:
@@ -145,6 +168,59 @@
         raise HeadersTooLarge
 
 
+class Phase(StrEnum):
+    """How far a request has come."""
+
+    ADMISSION = "admission"
+    QUEUED = "queued"
+    UPSTREAM = "upstream"
+    RESPONSE = "response"
+
+
+@dataclass(slots=True, eq=False)
+class _Progress:
+    """
+    The progress of the last request on a connection.
+
+    `call` is set once the request has a route, until its response is ready. `was_cut`
+    is set if the end of the process cancels the request.
+    """
+
+    request_id: str
+    started_s: float
+    call: Call | None = None
+    has_response: bool = False
+    was_cut: bool = False
+
+    @property
+    def phase(self) -> Phase:
+        if self.has_response:
+            return Phase.RESPONSE
+        if self.call is None:
+            return Phase.ADMISSION
+        if self.call.response is not None:
+            return Phase.RESPONSE
+        return Phase.UPSTREAM if self.call.may_have_run else Phase.QUEUED
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns what explains why the caller has no whole response yet."""
+        call = self.call
+        return {
+            "request": self.request_id,
+            "phase": self.phase,
+            "workspace": call.workspace.name if call and call.workspace else "",
+            "route": call.route.name if call else "",
+            "tried": ",".join(call.tried_upstreams) if call else "",
+            "after_ms": round((boottime_s() - self.started_s) * 1000),
+            "left_ms": round(call.time_left_s() * 1000) if call else None,
+        }
+
+    def finish(self) -> None:
+        """Releases what only a request without a response needs."""
+        self.call = None
+        self.has_response = True
+
+
 class RequestHandler:
     """Serves the requests of callers."""
 
@@ -181,6 +257,10 @@
         # stops serving.
         self._addresses_expire_s = self._stop_deadline_s = math.inf
         self.active_requests = 0
+        # By connection, for requests of connections that are open.
+        self._progress: WeakKeyDictionary[asyncio.BaseTransport, _Progress] = (
+            WeakKeyDictionary()
+        )
 
     def start_draining(self, addresses_expire_s: float, stop_deadline_s: float) -> None:
         """
@@ -192,10 +272,11 @@
         self._addresses_expire_s = addresses_expire_s
         self._stop_deadline_s = stop_deadline_s
 
-    def _may_be_cut(self, call: Call) -> bool:
-        """Tells whether a late request might run when the process ends."""
-        is_late = call.started_s > self._addresses_expire_s
-        return is_late and call.deadline_s > self._stop_deadline_s
+    def _check_stop(self, started_s: float, deadline_s: float) -> None:
+        """Raises `Stopping` for a late request that may run when the process ends."""
+        is_late = started_s > self._addresses_expire_s
+        if is_late and deadline_s > self._stop_deadline_s:
+            raise Stopping(retry_after_s=STOPPING_RETRY_S)
 
     def _max_config_age_s(self) -> float:
         return self.key_revocation_ms / 1000 * CONFIG_AGE_SHARE
@@ -213,9 +294,12 @@
         """Serves one request of a caller."""
         started_s = boottime_s()
         metadata = self._codec.decode_request(request.headers)
+        progress = _Progress(metadata.request_id, started_s)
+        if request.transport is not None:
+            self._progress[request.transport] = progress
         self.active_requests += 1
         try:
-            call = await self._admit(request, metadata, started_s)
+            call = await self._admit(request, metadata, progress)
             count(Counter.REQUESTS)
             response = await self._serve(request, call)
             if self.draining:
@@ -225,12 +309,24 @@
         except Refusal as error:
             return self._refuse(metadata, error, started_s)
         except asyncio.CancelledError:
-            count(Counter.CALLER_DISCONNECTS)
-            log.info("The caller disconnected.", request=metadata.request_id)
+            if not progress.was_cut:
+                count(Counter.CALLER_DISCONNECTS)
+                log.info("The caller disconnected.", **progress.log_fields())
             raise
         finally:
+            progress.finish()
             self.active_requests -= 1
 
+    def record_cut(self, connections: Iterable[asyncio.BaseTransport]) -> None:
+        """Logs requests whose connections the end of the process cuts."""
+        for connection in connections:
+            progress = self._progress.get(connection)
+            if progress is not None:
+                progress.was_cut = True
+                fields = progress.log_fields()
+                count(Counter.REQUESTS_CUT, progress.phase)
+                log.warning("The end of the process cut a request.", **fields)
+
     def _refuse(
         self, metadata: RequestMetadata, error: Refusal, started_s: float
     ) -> web.Response:
@@ -262,18 +358,24 @@
         return response
 
     async def _admit(
-        self, request: web.BaseRequest, metadata: RequestMetadata, started_s: float
+        self, request: web.BaseRequest, metadata: RequestMetadata, progress: _Progress
     ) -> Call:
+        started_s = progress.started_s
         limits = self._limits()
         body_time_ms = min(
             limits.idle_timeout_ms, metadata.deadline_ms or limits.idle_timeout_ms
         )
+        config = self._config_watcher.config
+        route = _find_route(request, config) if config is not None else None
+        if route is not None:
+            # The body of a request that is refused for the stop need not arrive.
+            self._check_stop(started_s, _deadline_s(started_s, route, metadata))
+            body_time_ms = min(body_time_ms, route.timeout_ms)
         body = await read_body(request, limits.max_body_bytes, body_time_ms / 1000)
         config = self._current_config()
         check_header_size(request, config.limits.max_header_bytes)
         raw_path = request.raw_path
-        path = raw_path.partition("?")[0]
-        route = config.find_route(request.headers.get(hdrs.HOST, ""), path)
+        route = _find_route(request, config)
         if route is None:
             raise RouteNotFound
         workspace = None
@@ -286,7 +388,6 @@
             raise UpstreamUnavailable(retry_after_s=NO_UPSTREAM_RETRY_S)
         fingerprints = request_fingerprints(workspace, request.method, raw_path, body)
         self._quarantine.check(fingerprints)
-        time_ms = min(route.timeout_ms, metadata.deadline_ms or route.timeout_ms)
         call = Call(
             metadata=metadata,
             route=route,
@@ -297,25 +398,39 @@
             body=body,
             fingerprints=fingerprints,
             started_s=started_s,
-            deadline_s=started_s + time_ms / 1000 - RESPONSE_MARGIN_S,
+            deadline_s=_deadline_s(started_s, route, metadata),
             last_event_id=metadata.last_event_id,
             events=EventSplitter(metadata.last_event_id),
             draining=self.draining,
         )
-        if self._may_be_cut(call):
-            raise Stopping(retry_after_s=STOPPING_RETRY_S)
+        progress.call = call
+        self._check_stop(started_s, call.deadline_s)
         if _exceeds_engine_memory(call):
             raise UpstreamUnavailable("the request exceeds an engine's memory")
         if workspace is not None:
-            await self._rate_limiter.acquire(
-                workspace,
-                time_ms / 1000 * _rate_wait_share(route.kind),
-                metadata,
-                route.priority == config.most_urgent_priority(),
-            )
-            measure(Timing.RATE_WAIT, (boottime_s() - started_s) * 1000)
+            urgent = route.priority == config.most_urgent_priority()
+            await self._acquire_rate(call, workspace, urgent)
         return call
 
+    async def _acquire_rate(
+        self, call: Call, workspace: Workspace, urgent: bool
+    ) -> None:
+        """Takes a token of the workspace's rate; raises a refusal at the deadline."""
+        time_ms = _time_ms(call.route, call.metadata)
+        wait_s = time_ms / 1000 * _rate_wait_share(call.route.kind)
+        try:
+            # Other VMs and the store may respond later than the wait allows.
+            async with asyncio.timeout(max(0.0, call.time_left_s())):
+                await self._rate_limiter.acquire(
+                    workspace, wait_s, call.metadata, urgent
+                )
+        except TimeoutError as error:
+            raise StoreUnavailable(
+                f"{workspace.name}: no token before the deadline",
+                retry_after_s=STORE_RETRY_S,
+            ) from error
+        measure(Timing.RATE_WAIT, (boottime_s() - call.started_s) * 1000)
+
     def _limits(self) -> Limits:
         config = self._config_watcher.config
         return Limits() if config is None else config.limits
