--- a/packages/standins/src/damasksaddle_standins/faults/stops.py
+++ b/packages/standins/src/damasksaddle_standins/faults/stops.py
@@ -172,8 +172,8 @@
         except TimeoutError:
             state = "is not ready" if vm.is_running() else "has ended"
             self.report.broken.append(f"{vm.name} {state} {MAX_START_S} s after start")
-            await vm.kill()
-            await vm.start()
+            if not vm.is_running():
+                await vm.start()
 
     async def change_routes(self, until_s: float) -> None:
         """Adds routes beside odd entries and a slow store."""
