Read what has arrived before a stop closes an idle connection

Cause: a stop closes connections that wait for a request, as the server sees it. Bytes that the kernel holds for such a connection, because the loop was busy since they came, are not seen; the close then resets the connection.

The stop now reads such a connection once more before it closes it. A request found there is answered, at the end of a stop with a refusal that promises that it has not run. What remains is a request on the wire. The new test failed with ConnectionResetError before.

--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -93,8 +93,17 @@
     also the rest of a request body.
     """
     for connection in server.connections:
-        if connection._waiter is not None and not connection._waiter.done():
-            connection.force_close()
+        if _is_idle(connection):
+            # A request may have arrived that the loop has not read yet.
+            read = getattr(connection.transport, "_read_ready", None)
+            if read is not None:
+                read()
+            if _is_idle(connection):
+                connection.force_close()
+
+
+def _is_idle(connection: web.RequestHandler) -> bool:
+    return connection._waiter is not None and not connection._waiter.done()
 
 
 def _stop_accepting(sites: list[web.BaseSite]) -> None:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from damasksaddle.platform import Put
-from damasksaddle_gateway.gateway import Gateway
+from damasksaddle_gateway.gateway import Gateway, _close_idle_connections
 from damasksaddle_gateway.grace import ADDRESS_RETENTION_FACTOR
 from damasksaddle_gateway.settings import Address
 from damasksaddle_platform.headers import PlatformHeaderCodec
@@ -243,6 +243,25 @@
         busy_writer.close()
 
 
+async def test_a_request_that_arrived_before_its_connection_closes_is_answered(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against closing a connection whose request waits to be read."""
+    async with running_gateway(rows, table, address_ttl_s=0.1, grace_s=6.0) as gateway:
+        server = gateway._runners[0].server
+        assert server is not None
+        reader, writer = await asyncio.open_connection(
+            *gateway._runners[0].addresses[0][:2]
+        )
+        while not any(connection._waiter for connection in server.connections):
+            await asyncio.sleep(0.01)
+        writer.write(_head(2, 0.0) + b"{}")
+        _close_idle_connections(server)
+        assert b"filed" in await reader.readuntil(b"filed")
+        writer.close()
+        await gateway.stop()
+
+
 async def test_a_body_that_arrives_during_a_stop_is_read(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
