Refuse events without an id, and write the events of a read at once

What callers saw: a stream of empty events or comments, without end, was relayed event by event; each took a write. Three such streams stopped their VM for up to 12 s, so that requests of other callers failed. A response of status 101 was passed on.

Cause: an event needs an id only after the first event that has one, and a read of 256 KB holds up to 128,000 of them, between which nothing else runs.

Evidence: on the code before, the test of empty events does not end within 120 s, and that of status 101 gets 101.

Result: after 128 events without an id a stream counts as broken off. The events of one read are written together, with the tokens counted as before. Status 101 is an interrupted response (502).

--- a/packages/gateway/src/damasksaddle_gateway/events.py
+++ b/packages/gateway/src/damasksaddle_gateway/events.py
@@ -5,6 +5,8 @@
 SEPARATOR = b"\n\n"
 # Far above any event; bytes without a separator are not buffered without end.
 MAX_EVENT_BYTES = 1024 * 1024
+# Upstreams number their events; a few comments may precede the first one.
+MAX_EVENTS_WITHOUT_ID = 128
 _ID_FIELD = b"id:"
 
 
@@ -48,9 +50,12 @@
         *events, self._buffer = (self._buffer + data).split(SEPARATOR)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise SizeLimitExceeded(f"an event of more than {MAX_EVENT_BYTES} bytes")
-        count, last_id = self.count + len(events), self.last_id
+        count, last_id = self.count, self.last_id
         for event in events:
             last_id = _next_id(last_id, event)
+            count += 1
+            if not last_id and count > MAX_EVENTS_WITHOUT_ID:
+                raise EventOutOfOrder(f"{count} events without an id")
         self.count, self.last_id = count, last_id
         return [event + SEPARATOR for event in events]
 
--- a/packages/gateway/src/damasksaddle_gateway/relay.py
+++ b/packages/gateway/src/damasksaddle_gateway/relay.py
@@ -44,15 +44,14 @@
         engine = call.service.engine
         tokens_per_event = engine.tokens_per_event if engine else 0
         async for chunk in upstream_response.chunks():
-            for event in self._split(call, chunk):
-                call.tokens_used += tokens_per_event
-                if call.reservation and call.tokens_used > call.reservation.tokens:
-                    call.tokens_used -= tokens_per_event
-                    raise OutcomeUnknown(
-                        "the turn generated more tokens than it reserved"
-                    )
+            events = self._split(call, chunk)
+            permitted = self._use_tokens(call, len(events), tokens_per_event)
+            if permitted:
                 response = await self._start_stream(request, call, upstream_response)
-                await response.write(event)
+                # One write: a write for each of thousands of events blocks others.
+                await response.write(b"".join(events[:permitted]))
+            if permitted < len(events):
+                raise OutcomeUnknown("the turn generated more tokens than it reserved")
             if call.events.last_id:
                 call.last_event_id = call.events.last_id
         if call.events.has_partial_event:
@@ -61,6 +60,15 @@
         await response.write_eof()
         return response
 
+    @staticmethod
+    def _use_tokens(call: Call, events: int, tokens_per_event: int) -> int:
+        """Records the tokens of events and returns how many events may be sent."""
+        if call.reservation is not None and tokens_per_event:
+            left_tokens = max(call.reservation.tokens - call.tokens_used, 0)
+            events = min(events, left_tokens // tokens_per_event)
+        call.tokens_used += events * tokens_per_event
+        return events
+
     @staticmethod
     def _split(call: Call, chunk: bytes) -> list[bytes]:
         try:
--- a/packages/gateway/src/damasksaddle_gateway/upstreams.py
+++ b/packages/gateway/src/damasksaddle_gateway/upstreams.py
@@ -31,6 +31,8 @@
 # Maximum length of one header line, and number of lines, of a response.
 MAX_HEADER_LINE_BYTES = 8190
 MAX_HEADERS = 128
+# An interim status that the library returns as a response; no request asks for it.
+SWITCHING_PROTOCOLS = 101
 
 
 class UpstreamAttemptError(DamasksaddleError):
@@ -231,6 +233,9 @@
         upstream: Upstream,
         sent_s: float,
     ) -> UpstreamResponse:
+        if response.status == SWITCHING_PROTOCOLS:
+            response.close()
+            raise ResponseInterrupted("the connection changes to another protocol")
         metadata = self._codec.decode_response(response.status, response.headers)
         if metadata.leaving:
             self.on_leaving(upstream)
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -96,6 +96,28 @@
     assert after_kb - before_kb < MAX_GROWTH_KB
 
 
+@pytest.mark.parametrize("event", [b"\n\n", b": comment\n\n"])
+async def test_a_stream_of_events_without_an_id_is_cut_off(event: bytes) -> None:
+    """Guards against events that are nothing and block other callers."""
+    chunk = b"10000\r\n" + event * (65536 // len(event))
+    async with (
+        run_gateway() as gateway,
+        endless_upstream(
+            gateway, CHUNKED, chunk + b"\n" * (65543 - len(chunk)) + b"\r\n"
+        ),
+    ):
+        assert (await gateway.send("/turn/x"))[0] == 502
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/turn/x"])
+async def test_a_change_of_protocol_is_no_response(path: str) -> None:
+    """Guards against responding with a status that no caller asked for."""
+    head = HEAD.replace(b"200 OK", b"101 Switching Protocols")
+    head += b"Connection: upgrade\r\nUpgrade: x\r\n\r\n"
+    async with run_gateway() as gateway, endless_upstream(gateway, head, CHUNK):
+        assert (await gateway.send(path))[0] == 502
+
+
 async def test_legal_overhead_is_accepted() -> None:
     """Guards against bounds that refuse sound responses."""
     interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n"
