Decide in one place which upstreams may serve a request

The handler asks it before it chooses and after a wait for a permit; _reassign and the splits of versions use the same decision. Placement keeps what it observed and chooses; ConfigWatcher keeps what was listed and said.

The detail of a refusal counts the reasons. A request that is quarantined while it waits for room is refused at the next look instead of at the end of the wait; code and status are the same.

--- a/packages/gateway/src/damasksaddle_gateway/config_watcher.py
+++ b/packages/gateway/src/damasksaddle_gateway/config_watcher.py
@@ -92,19 +92,9 @@
         """Returns the time since the list of upstreams was last read."""
         return boottime_s() - self._upstreams_verified_s
 
-    def available_upstreams(self, service: str) -> list[Upstream]:
-        """
-        Returns the upstreams of a service that accept new requests.
-
-        An upstream that leaves says so in the list or in its responses.
-        """
-        return [
-            upstream
-            for upstream in self.upstreams.values()
-            if upstream.service == service
-            and not upstream.draining
-            and upstream.incarnation not in self._leaving
-        ]
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Tells whether an upstream said in a response that it leaves."""
+        return upstream.incarnation in self._leaving
 
     def record_leaving(self, upstream: Upstream) -> None:
         """Records that an upstream said in a response that it leaves."""
--- a/packages/gateway/src/damasksaddle_gateway/placement.py
+++ b/packages/gateway/src/damasksaddle_gateway/placement.py
@@ -3,9 +3,9 @@
 
 Requests of one program go to the same engine, whichever VM receives them, because the
 program's prompts share a prefix. The engines are ordered by rendezvous hashing of the
-program id; an engine that is full or failed recently is skipped. A request to a plain
-service goes to the less loaded of two randomly sampled upstreams, where only requests
-of this VM count as load.
+program id; one that is full or failed recently is no candidate (`eligibility`). A
+request to a plain service goes to the less loaded of two randomly sampled upstreams,
+where only requests of this VM count as load.
 
 An upstream resets connections beyond its limit for all VMs together, and a request lost
 that way may not be retryable. Each VM therefore uses at most its share of the
@@ -83,37 +83,6 @@
             if incarnation not in known and unused:
                 del self._states[incarnation]
 
-    def has_capacity(self, upstream: Upstream, service: Service, vms: int) -> bool:
-        """Tells whether this VM may send one more request to an upstream."""
-        state = self.upstream_state(upstream)
-        now_s = boottime_s()
-        if state.rejected_until_s > now_s or state.limited_until_s > now_s:
-            return False
-        return state.outstanding < in_flight_limit(upstream, service, vms)
-
-    def first_permit(
-        self, upstreams: list[Upstream], service: Service, vms: int
-    ) -> Upstream | None:
-        """
-        Returns the upstream whose rate limit permits a request first.
-
-        Returns None unless all upstreams with room lack permits; `wait_for_capacity`
-        then tells when one has room.
-        """
-        now_s = boottime_s()
-        limited = []
-        for upstream in upstreams:
-            state = self.upstream_state(upstream)
-            if state.limited_until_s <= now_s:
-                return None
-            if state.outstanding < in_flight_limit(upstream, service, vms):
-                limited.append(upstream)
-        return min(
-            limited,
-            key=lambda upstream: self.upstream_state(upstream).limited_until_s,
-            default=None,
-        )
-
     async def wait_for_capacity(
         self, upstreams: list[Upstream], service: Service, vms: int, until_s: float
     ) -> bool:
@@ -159,20 +128,10 @@
         """Returns the upstream to try next, or None if there is none."""
         if not candidates:
             return None
-        candidates = self.healthy(candidates) or candidates
         if service.engine is not None and metadata.program is not None:
             return self._preferred_engine(candidates, metadata.program.id)
         return self._least_outstanding(candidates)
 
-    def healthy(self, candidates: list[Upstream]) -> list[Upstream]:
-        """Returns the upstreams that did not fail recently."""
-        now_s = boottime_s()
-        return [
-            candidate
-            for candidate in candidates
-            if self.upstream_state(candidate).avoid_until_s <= now_s
-        ]
-
     def _preferred_engine(self, candidates: list[Upstream], program: str) -> Upstream:
         by_id = {upstream.id: upstream for upstream in candidates}
         return by_id[rendezvous(program, by_id)[0]]
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -24,7 +24,6 @@
     RouteNotFound,
     SizeLimitExceeded,
     Stopping,
-    StreamVersionUnknown,
     UpstreamUnavailable,
 )
 from damasksaddle.utils import (
@@ -38,6 +37,14 @@
 )
 from damasksaddle_gateway.calls import Call, request_fingerprints
 from damasksaddle_gateway.config_watcher import ConfigWatcher
+from damasksaddle_gateway.eligibility import (
+    Busy,
+    Eligibility,
+    Eligible,
+    Excluded,
+    Survey,
+    available_upstreams,
+)
 from damasksaddle_gateway.events import EventSplitter
 from damasksaddle_gateway.interfaces import HeaderCodec, RequestMetadata
 from damasksaddle_gateway.membership import Membership
@@ -173,6 +180,9 @@
         self._stream_versions = stream_versions
         self._codec = codec
         self._relay = ResponseRelay(codec, stream_versions)
+        self._eligibility = Eligibility(
+            config_watcher, placement, membership, quarantine
+        )
         self._known_upstreams: dict[str, Upstream] = {}
         # How long a withdrawn key may remain accepted.
         self.key_revocation_ms = key_revocation_ms
@@ -422,69 +432,45 @@
                 self._known_upstreams = self._config_watcher.upstreams
                 self._placement.retain(list(self._known_upstreams.values()))
             version = await self._version(call)
-            self._check_upstreams_age(call)
-            candidates = [
-                upstream
-                for upstream in self._untried_upstreams(call)
-                if version is None or upstream.software_version == version
-            ]
+            survey = self._eligibility.survey(call, version)
+            candidates = survey.candidates()
             if not candidates and await self._reassign(call, version):
                 continue
-            vms = len(self._membership.live_vms())
-            free = [
-                candidate
-                for candidate in candidates
-                if self._placement.has_capacity(candidate, call.service, vms)
-            ]
-            upstream = self._placement.choose(free, call.service, call.metadata)
-            if upstream is not None:
-                permitted = await self._take_permit(call, upstream, 0.0)
-                if permitted and self._is_available(call, upstream):
-                    break
-                continue
-            if call.rejections >= MAX_REJECTIONS:
-                raise self._no_upstream_refusal(call)
-            upstream = self._placement.first_permit(candidates, call.service, vms)
-            if upstream is not None:
+            max_wait_s = 0.0
+            upstream = self._placement.choose(
+                survey.eligible(), call.service, call.metadata
+            )
+            if upstream is None:
+                if call.rejections >= MAX_REJECTIONS:
+                    raise self._no_upstream_refusal(call, survey)
+                upstream = survey.first_permit()
                 max_wait_s = deadline_s - boottime_s()
-                if not await self._take_permit(call, upstream, max_wait_s):
-                    raise self._no_upstream_refusal(call)
-                if self._is_available(call, upstream):
-                    break
+            if upstream is not None:
+                if await self._take_permit(call, upstream, max_wait_s):
+                    # Room that others took during the wait does not void a permit.
+                    match self._eligibility.verdict(call, version, upstream):
+                        case Eligible() | Busy():
+                            break
+                        case Excluded():
+                            continue
+                if max_wait_s:
+                    raise self._no_upstream_refusal(call, survey)
                 continue
+            vms = len(self._membership.live_vms())
             if not candidates or not await self._placement.wait_for_capacity(
                 candidates, call.service, vms, deadline_s
             ):
-                raise self._no_upstream_refusal(call)
+                raise self._no_upstream_refusal(call, survey)
         if call.time_left_s() <= 0:
             # This VM may have been suspended; its timers do not count that time.
             raise self._timeout_refusal(call)
-        # The request may have been quarantined, or its key withdrawn, while it waited.
-        self._quarantine.check(call.fingerprints)
+        # The request's key may have been withdrawn while it waited.
         if call.workspace is not None:
             self._current_config()
         call.tried_upstreams.append(upstream.id)
         measure(Timing.PLACEMENT_WAIT, (boottime_s() - started_s) * 1000)
         return upstream
 
-    def _untried_upstreams(self, call: Call) -> list[Upstream]:
-        return [
-            upstream
-            for upstream in self._config_watcher.available_upstreams(call.service.name)
-            if upstream.id not in call.tried_upstreams
-        ]
-
-    def _check_upstreams_age(self, call: Call) -> None:
-        """
-        Raises if a stream would continue on an outdated list of upstreams.
-
-        An upstream may have started again under its id with another version, and does
-        not check which version began a stream.
-        """
-        age_s = self._config_watcher.upstreams_age_s()
-        if call.version is not None and age_s > self._config_watcher.drain_ms / 1000:
-            raise StreamVersionUnknown(f"the list of upstreams is {age_s:.1f} s old")
-
     async def _version(self, call: Call) -> str | None:
         """Returns the upstream version that a call needs, or None if any will do."""
         if call.version is not None or not is_resumable(call.route.kind):
@@ -501,12 +487,12 @@
         """
         if version is None or call.version is not None:
             return False
-        others = self._placement.healthy(self._untried_upstreams(call))
+        others = self._eligibility.survey(call, None).candidates(healthy=True)
         upstream = self._placement.choose(others, call.service, call.metadata)
         if upstream is None:
             return False
         splits, service = self._stream_versions.splits, call.service.name
-        available = self._config_watcher.available_upstreams(service)
+        available = available_upstreams(self._config_watcher, service)
         if any(listed.software_version == version for listed in available):
             await splits.move_shard(
                 service, call.version_key, upstream.software_version
@@ -527,17 +513,13 @@
                 call.permit_retry_s = retry_after_s
                 return False
 
-    def _is_available(self, call: Call, upstream: Upstream) -> bool:
-        """Tells whether an upstream is still there after the wait for a permit."""
-        available = self._config_watcher.available_upstreams(call.service.name)
-        return upstream in available
-
     @staticmethod
-    def _no_upstream_refusal(call: Call) -> Refusal:
+    def _no_upstream_refusal(call: Call, survey: Survey) -> Refusal:
         if call.may_have_run:
             return OutcomeUnknown()
         return UpstreamUnavailable(
-            f"tried {len(call.tried_upstreams)}, {call.rejections} rejections as full",
+            f"tried {len(call.tried_upstreams)}, {call.rejections} rejections as full, "
+            f"{survey}",
             retry_after_s=max(NO_UPSTREAM_RETRY_S, call.permit_retry_s),
         )
 
--- a/packages/gateway/src/damasksaddle_gateway/version_splits.py
+++ b/packages/gateway/src/damasksaddle_gateway/version_splits.py
@@ -29,6 +29,7 @@
 from damasksaddle_gateway.background import background_task
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.coordinators import Coordinators
+from damasksaddle_gateway.eligibility import available_upstreams
 from damasksaddle_gateway.feeds import TableFeed, decode
 from damasksaddle_gateway.routing_config import is_resumable
 from damasksaddle_gateway.rows import CachedRow, update_row
@@ -262,7 +263,7 @@
 
     def _slots(self, service: str) -> dict[str, int]:
         slots: Counter[str] = Counter()
-        for upstream in self._config_watcher.available_upstreams(service):
+        for upstream in available_upstreams(self._config_watcher, service):
             slots[upstream.software_version] += max(1, upstream.slots)
         return dict(slots)
 
--- a/packages/standins/src/damasksaddle_standins/version_fleet.py
+++ b/packages/standins/src/damasksaddle_standins/version_fleet.py
@@ -74,7 +74,7 @@
         self.rows = VersionedRows()
         self.tables: dict[str, MemoryVersionedTable] = {}
         self.streams: dict[str, StreamVersions] = {}
-        self.upstreams: list[Upstream] = []
+        self.upstreams: dict[str, Upstream] = {}
         self.begun: dict[str, tuple[str, str]] = {}
         self.joined: list[str] = []
         self.continued = 0
@@ -84,10 +84,12 @@
 
     def set_upstreams(self, *versions: str) -> None:
         """Replaces the list of upstreams by one upstream for each version given."""
-        self.upstreams = [
-            Upstream(f"u{number}", SERVICE, f"u{number}:1", "a", 4, False, 0, version)
-            for number, version in enumerate(versions)
-        ]
+        self.upstreams.clear()
+        for number, version in enumerate(versions):
+            name = f"u{number}"
+            self.upstreams[name] = Upstream(
+                name, SERVICE, f"{name}:1", "a", 4, False, 0, version
+            )
 
     async def start(self, vm: str) -> None:
         """Starts the process of a VM, or replaces it by one that knows nothing."""
@@ -98,7 +100,7 @@
         self.tables[vm] = MemoryVersionedTable(self.rows)
         table = StoreCircuitBreaker(self.tables[vm])
         config_watcher: Any = SimpleNamespace(
-            config=CONFIG, available_upstreams=lambda service: self.upstreams
+            config=CONFIG, upstreams=self.upstreams, is_leaving=lambda upstream: False
         )
         coordinators = Coordinators(vm, table, membership, peers)
         splits = VersionSplits(table, config_watcher, coordinators)
@@ -127,7 +129,11 @@
         call = _call(stream, program)
         version = await streams.splits.assigned_version(SERVICE, call.version_key)
         upstream = next(
-            (known for known in self.upstreams if known.software_version == version),
+            (
+                known
+                for known in self.upstreams.values()
+                if known.software_version == version
+            ),
             None,
         )
         if upstream is None:
--- a/tests/gateway/test_config_watcher.py
+++ b/tests/gateway/test_config_watcher.py
@@ -11,6 +11,7 @@
 from damasksaddle.utils import Counter
 from damasksaddle.utils.metrics import counter_value
 from damasksaddle_gateway.config_watcher import FEED_WAIT_S, ConfigWatcher
+from damasksaddle_gateway.eligibility import available_upstreams
 from damasksaddle_gateway.routing_config import RoutingConfig, Upstream
 from damasksaddle_gateway.store import StoreCircuitBreaker
 from damasksaddle_standins.versioned_table import MemoryVersionedTable, VersionedRows
@@ -119,10 +120,13 @@
     write_upstream(rows, "u1")
     write_upstream(rows, "u2")
     async with watching(table) as config_watcher:
-        assert {u.id for u in config_watcher.available_upstreams("llm")} == {"u1", "u2"}
+        assert {u.id for u in available_upstreams(config_watcher, "llm")} == {
+            "u1",
+            "u2",
+        }
         write_upstream(rows, "u1", draining=True)
         await asyncio.sleep(1.0)
-        assert {u.id for u in config_watcher.available_upstreams("llm")} == {"u2"}
+        assert {u.id for u in available_upstreams(config_watcher, "llm")} == {"u2"}
 
 
 async def test_rows_that_expired_in_an_outage_may_reappear(
@@ -138,10 +142,10 @@
             rows.apply([Put(f"servers//{upstream}", None)])
         table.down = False
         await asyncio.sleep(1)
-        assert len(config_watcher.available_upstreams("llm")) == 2
+        assert len(available_upstreams(config_watcher, "llm")) == 2
         write_upstream(rows, "u2")
         await asyncio.sleep(2.5)
-        assert {u.id for u in config_watcher.available_upstreams("llm")} == {"u2"}
+        assert {u.id for u in available_upstreams(config_watcher, "llm")} == {"u2"}
 
 
 async def test_every_store_response_renews_the_configuration_age(
@@ -176,7 +180,7 @@
         write_upstream(rows, "u1", draining=True)
         write_config_version(rows, 2)
         await asyncio.sleep(1.5)
-        assert {u.id for u in config_watcher.available_upstreams("llm")} == {"u2"}
+        assert {u.id for u in available_upstreams(config_watcher, "llm")} == {"u2"}
         assert config_watcher.config is not None
         assert config_watcher.config.version == 2
 
