Read a repeated Server-Leaving header whole

Only the first of several values was read, so "0" before "1", or "1, 1" in one line, as a proxy joins them, said nothing.

--- a/packages/gateway/src/damasksaddle_gateway/interfaces.py
+++ b/packages/gateway/src/damasksaddle_gateway/interfaces.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from multidict import CIMultiDict, CIMultiDictProxy
+from multidict import CIMultiDict, CIMultiDictProxy, MultiMapping
 
 from damasksaddle.platform import Row
 from damasksaddle_gateway.routing_config import RoutingConfig, Upstream, Workspace
@@ -105,7 +105,7 @@
     ) -> CIMultiDict[str]: ...
 
     def decode_response(
-        self, status: int, headers: Mapping[str, str]
+        self, status: int, headers: MultiMapping[str]
     ) -> ResponseMetadata: ...
 
     def response_headers(self, headers: CIMultiDictProxy[str]) -> CIMultiDict[str]: ...
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -99,6 +99,25 @@
     assert CODEC.decode_response(status, CIMultiDict(headers)).not_run is not_run
 
 
+@pytest.mark.parametrize(
+    ("values", "leaving"),
+    [
+        (["1"], True),
+        (["0", " 1\t"], True),
+        (["1, 1"], True),
+        ([], False),
+        (["0"], False),
+        (["11", "yes", ",", "9" * 5000], False),
+    ],
+)
+def test_an_upstream_leaves_if_any_value_says_so(
+    values: list[str], leaving: bool
+) -> None:
+    """Guards against sending to an upstream that leaves, or losing a sound one."""
+    headers = CIMultiDict(("SERVER-leaving", value) for value in values)
+    assert CODEC.decode_response(503, headers).leaving is leaving
+
+
 @pytest.mark.parametrize("number", ["inf", "-inf", "nan", "1e999", "9" * 5000])
 def test_numbers_out_of_range_are_ignored(number: str) -> None:
     """Guards against a request that fails in the gateway for a number in a header."""
