End an upstream's word that it leaves with its process, its entry or its age

The word was kept by incarnation, so an entry of the list that was older than the word (another start under the same id) made the upstream available again, and a word outlived its entry: an upstream that was gone and came back under the same start got no requests for 600 s. It is kept by id now, with the process that was asked: the same or an older start stays excluded, a newer start or another id at the address is not affected, and it ends with the entry (in an outage after the time in which entries come back) or 600 s after it was last said.

The first two cases failed before. Tests for what held already: answers to retries, answers whose caller has left after the head, streams that would go on there.

--- a/packages/gateway/src/damasksaddle_gateway/config_watcher.py
+++ b/packages/gateway/src/damasksaddle_gateway/config_watcher.py
@@ -16,6 +16,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from mode import Service
 
@@ -49,6 +50,14 @@
 OUTAGE_THRESHOLD_S = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Leaving:
+    """An upstream as it was listed when it last said that it leaves."""
+
+    upstream: Upstream
+    said_s: float
+
+
 class ConfigWatcher(Service):
     """Holds the newest configuration and upstreams known to this VM."""
 
@@ -62,8 +71,8 @@
         self.drain_ms = drain_ms
         self.config: RoutingConfig | None = None
         self.upstreams: dict[str, Upstream] = {}
-        # When an upstream last said in a response that it leaves, by incarnation.
-        self._leaving: dict[tuple[str, str, int], float] = {}
+        # Upstreams that said in a response that they leave, by id.
+        self._leaving: dict[str, _Leaving] = {}
         # Called after a new configuration was applied.
         self.on_applied: Callable[[], None] = lambda: None
         self._feed = TableFeed(
@@ -92,22 +101,40 @@
         """Returns the time since the list of upstreams was last read."""
         return boottime_s() - self._upstreams_verified_s
 
+    def upstream_poll_s(self) -> float:
+        """Returns the interval at which every VM reads the list of upstreams."""
+        return self.drain_ms / 1000 * UPSTREAM_POLL_SHARE
+
     def is_leaving(self, upstream: Upstream) -> bool:
-        """Tells whether an upstream said in a response that it leaves."""
-        return upstream.incarnation in self._leaving
+        """
+        Tells whether an upstream said in a response that it leaves.
+
+        What its process said also holds for older entries of its id.
+        """
+        known = self._leaving.get(upstream.id)
+        if known is None:
+            return False
+        return (
+            upstream.incarnation == known.upstream.incarnation
+            or upstream.started_at_ms < known.upstream.started_at_ms
+        )
 
     def record_leaving(self, upstream: Upstream) -> None:
         """Records that an upstream said in a response that it leaves."""
-        now_s = boottime_s()
-        if upstream.incarnation not in self._leaving:
+        known = self._leaving.get(upstream.id)
+        if known and known.upstream.started_at_ms > upstream.started_at_ms:
+            return
+        if known is None or known.upstream.incarnation != upstream.incarnation:
             log.info("An upstream said that it leaves.", upstream=upstream.id)
-        self._leaving[upstream.incarnation] = now_s
+        self._leaving[upstream.id] = _Leaving(upstream, boottime_s())
 
-    def _forget_leaving(self, now_s: float) -> None:
-        """Forgets what was recorded long ago, in case it was wrong."""
-        for incarnation, recorded_s in list(self._leaving.items()):
-            if now_s - recorded_s > LEAVING_RETENTION_S:
-                del self._leaving[incarnation]
+    def _forget_leaving(self, listed: dict[str, Upstream], now_s: float) -> None:
+        """Forgets upstreams that are gone, and what may have been wrong."""
+        self._leaving = {
+            name: known
+            for name, known in self._leaving.items()
+            if name in listed and now_s - known.said_s <= LEAVING_RETENTION_S
+        }
 
     @background_task
     async def _follow_config(self) -> None:
@@ -162,7 +189,7 @@
     @background_task
     async def _follow_upstreams(self) -> None:
         while not self.should_stop:
-            interval_s = self.drain_ms / 1000 * UPSTREAM_POLL_SHARE
+            interval_s = self.upstream_poll_s()
             try:
                 await self._read_upstreams()
             except (TableUnavailable, ResponseLost) as error:
@@ -180,7 +207,6 @@
         self._replace_upstreams(page.rows, requested_s)
 
     def _replace_upstreams(self, rows: list[Row], now_s: float) -> None:
-        self._forget_leaving(now_s)
         listed = {}
         for row in rows:
             upstream = decode(self._decoder.decode_upstream, row)
@@ -193,6 +219,7 @@
                 if upstream_id not in listed
             }
             listed.update(kept)
+        self._forget_leaving(listed, now_s)
         if listed == self.upstreams:
             return
         self._log_changes(listed)
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/test_leaving_upstreams.py
@@ -1,18 +1,38 @@
 """Upstreams that say in their responses that they leave."""
 
 import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import replace
 
+import aiohttp
 import pytest
 from aiohttp import web
 
+from damasksaddle.platform import Put, Row
+from damasksaddle_gateway.config_watcher import (
+    LEAVING_RETENTION_S,
+    ConfigWatcher,
+)
+from damasksaddle_gateway.eligibility import available_upstreams
+from damasksaddle_gateway.routing_config import Streaming, Upstream
+from damasksaddle_gateway.store import StoreCircuitBreaker
+from damasksaddle_standins.versioned_table import MemoryVersionedTable, VersionedRows
+from tests.gateway.test_config_watcher import StubDecoder
 from tests.gateway.test_request_handler import (
+    CONFIG,
     SIGNED,
     RequestCallback,
+    reset_connection,
     respond_ok,
+    route,
     run_gateway,
+    streaming_handler,
 )
 
+EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+
 
 def answering(status: int = 200, **headers: str) -> RequestCallback:
     """Returns an upstream whose responses have these headers."""
@@ -81,6 +101,37 @@
         assert float(headers["Retry-After"]) > 0
 
 
+async def test_a_stream_does_not_go_on_at_an_upstream_that_leaves() -> None:
+    """Guards against taking a stream up at the upstream that broke it off."""
+    upstream = streaming_handler(EVENTS[0], complete=False, Server_Leaving="1")
+    async with run_gateway(upstream) as gateway:
+        streams = route("/turn/", Streaming(resumable=True, max_gap_ms=200), 3)
+        gateway.config_watcher.config = replace(CONFIG, routes=(streams,))
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateway.send("/turn/x")
+        assert len(gateway.received) == 1
+
+
+async def test_the_word_counts_if_the_caller_has_left() -> None:
+    """Guards against losing the word of a response that nobody waits for any more."""
+    upstream = streaming_handler(*EVENTS, pause_s=5.0, Server_Leaving="1")
+    async with run_gateway(upstream) as gateway:
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await gateway.send("/turn/x")
+        assert (await gateway.send("/once/x"))[0] == 503
+
+
+async def test_the_word_counts_in_the_response_to_a_retry() -> None:
+    """Guards against losing the word of an upstream that another one led to."""
+    async with run_gateway(reset_connection, answering(server_leaving="1")) as gateway:
+        for _ in range(8):
+            await gateway.send("/safe/x")
+        assert [r.headers["X-Expect-Instance"] for r in gateway.received].count(
+            "u1"
+        ) == 1
+
+
 async def test_an_upstream_that_started_again_gets_requests() -> None:
     """Guards against an upstream that is lost for good once it has left."""
     async with run_gateway(answering(server_leaving="1")) as gateway:
@@ -89,3 +140,91 @@
         assert (await gateway.send("/once/x"))[0] == 503
         watcher.upstreams = {"u0": replace(watcher.upstreams["u0"], started_at_ms=7)}
         assert (await gateway.send("/once/x"))[0] == 200
+
+
+class _Decoder(StubDecoder):
+    """Decodes rows that hold an upstream's address and start."""
+
+    def decode_upstream(self, row: Row) -> Upstream | None:
+        address, started_at_ms = json.loads(row.value)
+        name = row.key.rpartition("/")[2]
+        return Upstream(name, "llm", address, "a", 4, False, started_at_ms)
+
+
+@asynccontextmanager
+async def _with_word(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> AsyncIterator[ConfigWatcher]:
+    """Runs a watcher to which the upstream u0, started at 5, said that it leaves."""
+    _write(rows, "u0")
+    breaker = StoreCircuitBreaker(table)
+    async with ConfigWatcher(breaker, _Decoder(), drain_ms=2000.0) as watcher:
+        await asyncio.sleep(2)
+        assert _available(watcher) == {"u0"}
+        watcher.record_leaving(watcher.upstreams["u0"])
+        assert not _available(watcher)
+        yield watcher
+
+
+def _write(
+    rows: VersionedRows, name: str, started_at_ms: int = 5, address: str = "h:1"
+) -> None:
+    rows.apply([Put(f"servers//{name}", json.dumps([address, started_at_ms]))])
+
+
+def _available(watcher: ConfigWatcher) -> set[str]:
+    return {upstream.id for upstream in available_upstreams(watcher, "llm")}
+
+
+async def test_only_a_newer_start_takes_the_word_back(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against an old entry of the list that hides what an upstream said."""
+    async with _with_word(rows, table) as watcher:
+        for started_at_ms, available in ((4, set()), (5, set()), (6, {"u0"})):
+            _write(rows, "u0", started_at_ms)
+            await asyncio.sleep(1)
+            assert _available(watcher) == available
+
+
+async def test_another_upstream_at_the_address_gets_requests(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against passing over an upstream for what its predecessor said."""
+    async with _with_word(rows, table) as watcher:
+        _write(rows, "u1")
+        await asyncio.sleep(1)
+        assert _available(watcher) == {"u1"}
+
+
+async def test_the_word_ends_with_the_entry(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against keeping words for ever, and losing them in an outage."""
+    async with _with_word(rows, table) as watcher:
+        table.down = True
+        await asyncio.sleep(6)
+        rows.apply([Put("servers//u0", None)])
+        table.down = False
+        await asyncio.sleep(1)
+        _write(rows, "u0")
+        await asyncio.sleep(3)
+        assert not _available(watcher)
+        rows.apply([Put("servers//u0", None)])
+        await asyncio.sleep(1)
+        _write(rows, "u0")
+        await asyncio.sleep(1)
+        assert _available(watcher) == {"u0"}
+
+
+async def test_a_wrong_word_is_forgotten(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against losing an upstream for good that did not leave."""
+    async with _with_word(rows, table) as watcher:
+        await asyncio.sleep(LEAVING_RETENTION_S / 2)
+        watcher.record_leaving(watcher.upstreams["u0"])
+        await asyncio.sleep(LEAVING_RETENTION_S * 0.9)
+        assert not _available(watcher)
+        await asyncio.sleep(LEAVING_RETENTION_S * 0.2)
+        assert _available(watcher) == {"u0"}
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -231,13 +231,18 @@
     return web.Response()
 
 
-def streaming_handler(*events: bytes, complete: bool = True) -> RequestCallback:
+def streaming_handler(
+    *events: bytes, complete: bool = True, pause_s: float = 0.0, **headers: str
+) -> RequestCallback:
+    sent = {name.replace("_", "-"): value for name, value in headers.items()}
+
     async def respond(request: web.BaseRequest) -> web.StreamResponse:
-        response = web.StreamResponse(headers=SIGNED)
+        response = web.StreamResponse(headers={**SIGNED, **sent})
         response.enable_chunked_encoding()
         await response.prepare(request)
         for event in events:
             await response.write(event)
+            await asyncio.sleep(pause_s)
         if complete:
             await response.write_eof()
         else:
