Check a stream's version again after the wait for a permit

The software version of a new stream's shard was asked once, before the wait for a permit, and a shard that moved meanwhile got one more stream at its old version. The verdict after the wait is now given for the version of that moment. The test failed before: the stream began at the old version.

--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -447,6 +447,7 @@
                 max_wait_s = deadline_s - boottime_s()
             if upstream is not None:
                 if await self._take_permit(call, upstream, max_wait_s):
+                    version = await self._version(call)
                     # Room that others took during the wait does not void a permit.
                     match self._eligibility.verdict(call, version, upstream):
                         case Eligible() | Busy():
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/test_leaving_upstreams.py
@@ -18,6 +18,7 @@
 from damasksaddle_gateway.eligibility import available_upstreams
 from damasksaddle_gateway.routing_config import Streaming, Upstream
 from damasksaddle_gateway.store import StoreCircuitBreaker
+from damasksaddle_gateway.upstream_limits import Permitted
 from damasksaddle_standins.versioned_table import MemoryVersionedTable, VersionedRows
 from tests.gateway.test_config_watcher import StubDecoder
 from tests.gateway.test_request_handler import (
@@ -112,6 +113,40 @@
         assert len(gateway.received) == 1
 
 
+async def test_upstreams_are_checked_again_after_a_wait_for_a_permit() -> None:
+    """Guards against sending to an upstream that left, or lost the shard, meanwhile."""
+    async with run_gateway(*[streaming_handler(*EVENTS)] * 3) as gateway:
+        watcher, handler = gateway.config_watcher, gateway.request_handler
+        for number, upstream in enumerate(list(watcher.upstreams.values())):
+            watcher.upstreams[upstream.id] = replace(
+                upstream, software_version=f"v{number}"
+            )
+        streams = route("/turn/", Streaming(resumable=True, max_gap_ms=200), 3)
+        watcher.config = replace(CONFIG, routes=(streams,))
+        version, asked = "v0", []
+
+        async def assigned_version(service: str, key: str) -> str:
+            return version
+
+        async def take_permit(upstream: Upstream, max_wait_s: float) -> Permitted:
+            nonlocal version
+            asked.append(upstream.id)
+            match len(asked):
+                case 1:
+                    version = "v1"
+                case 2:
+                    watcher.record_leaving(upstream)
+                    version = "v2"
+            return Permitted()
+
+        splits = handler._stream_versions.splits
+        splits.assigned_version = assigned_version  # type: ignore[method-assign]
+        handler._upstream_limits.take_permit = take_permit  # type: ignore[method-assign]
+        assert (await gateway.send("/turn/x"))[0] == 200
+        assert asked == ["u0", "u1", "u2"]
+        assert [r.headers["X-Expect-Instance"] for r in gateway.received] == ["u2"]
+
+
 async def test_the_word_counts_if_the_caller_has_left() -> None:
     """Guards against losing the word of a response that nobody waits for any more."""
     upstream = streaming_handler(*EVENTS, pause_s=5.0, Server_Leaving="1")
