Let upstreams of the soak say that they leave before their rows do

An upstream that leaves says so in all its responses, at times seconds before its row changes, also while the store is silent for some VMs or all.

--- a/packages/standins/src/damasksaddle_standins/faults/invariants.py
+++ b/packages/standins/src/damasksaddle_standins/faults/invariants.py
@@ -85,6 +85,8 @@
     key_withdrawn_s: dict[str, float] = field(default_factory=dict)
     # When the store accepted the row that marks an upstream as draining, by upstream.
     drain_started_s: dict[str, float] = field(default_factory=dict)
+    # When an upstream first said to a VM that it leaves, by upstream and VM.
+    leaving_said_s: dict[tuple[str, str], float] = field(default_factory=dict)
     rates: dict[str, tuple[float, float]] = field(default_factory=dict)
     _refusal_statuses: dict[str, int] = field(default_factory=dict)
     _tokens_by_program: Counter[str] = field(default_factory=Counter)
@@ -106,6 +108,26 @@
         latest_s = max(self._shared_fault_s, self._vm_fault_s.get(vm_name, -math.inf))
         return latest_s < since_s - RECOVERY_S
 
+    def record_leaving(self, upstream_id: str, request_id: str) -> None:
+        """Records that an upstream says to the VM of a request that it leaves."""
+        attempt = self.attempts.get(request_id)
+        if attempt is not None:
+            key = upstream_id, attempt.vm_name
+            self.leaving_said_s.setdefault(key, boottime_s())
+
+    def _check_leaving(self, attempt: Attempt, upstream_id: str) -> None:
+        """Checks a run on an upstream that may have said that it leaves."""
+        vm_name = attempt.vm_name
+        said_s = self.leaving_said_s.get((upstream_id, vm_name), math.inf)
+        # A VM that was restarted does not know what the upstream said before.
+        knows = self._vm_fault_s.get(vm_name, -math.inf) < said_s
+        if knows and attempt.sent_s > said_s + DRAIN_S:
+            self._report_violation(
+                "ran on an upstream that said that it leaves",
+                attempt,
+                f"{attempt.sent_s - said_s:.2f} s",
+            )
+
     def _report_violation(
         self, invariant: str, attempt: Attempt | None, detail: object
     ) -> None:
@@ -162,6 +184,7 @@
             self._report_violation(
                 "ran on a draining upstream", attempt, f"{now_s - draining_s:.2f} s"
             )
+        self._check_leaving(attempt, upstream_id)
         self._run_times[attempt.workspace].append((attempt.sent_s, now_s))
 
     def check_response(self, attempt: Attempt, response: ReceivedResponse) -> None:
--- a/packages/standins/src/damasksaddle_standins/faults/schedule.py
+++ b/packages/standins/src/damasksaddle_standins/faults/schedule.py
@@ -271,6 +271,20 @@
     await _drain(context, upstream)
 
 
+async def announce_leaving(context: FaultContext) -> None:
+    """Planned work: an upstream says that it leaves before its row does."""
+    upstream = context.rng.choice(context.pool.running)
+    duration_s = context.rng.uniform(3.0, 6.0)
+    context.log_fault(
+        "upstream says it leaves", None, f"{upstream.id} {duration_s:.2f} s"
+    )
+    await context.pool.add(upstream.service)
+    await asyncio.sleep(1.0)
+    upstream.says_leaving = True
+    await asyncio.sleep(duration_s)
+    await _drain(context, upstream)
+
+
 async def degrade_upstream(context: FaultContext) -> None:
     upstream = context.rng.choice(context.pool.running)
     duration_s, probability = (
@@ -322,6 +336,7 @@
     degrade_caller_link,
     crash_upstream,
     drain_upstream,
+    announce_leaving,
     degrade_upstream,
     change_configuration,
     replace_key,
--- a/packages/standins/src/damasksaddle_standins/faults/upstreams.py
+++ b/packages/standins/src/damasksaddle_standins/faults/upstreams.py
@@ -54,6 +54,8 @@
     misbehavior: Misbehavior | None = None
     misbehavior_probability: float = 0.0
     state: str = "ready"
+    # Whether its responses say that it leaves, whatever its row says.
+    says_leaving: bool = False
     address: str = ""
     active_requests: int = 0
     _sequence_number: int = 0
@@ -101,6 +103,7 @@
     async def drain(self) -> None:
         """Reports the state `draining`, continues to serve for a while and stops."""
         self.state = "draining"
+        self.says_leaving = True
         self._write_row()
         self.checker.drain_started_s[self.id] = boottime_s()
         await asyncio.sleep(DRAIN_SERVING_S)
@@ -143,9 +146,16 @@
             self.active_requests -= 1
 
     def _not_run_response(self, status: int, request_id: str) -> web.Response:
-        headers = {"X-Not-Executed": "1", "X-Request-Id": request_id}
+        headers = {"X-Not-Executed": "1", **self._response_headers(request_id)}
         return web.Response(status=status, headers=headers)
 
+    def _response_headers(self, request_id: str) -> dict[str, str]:
+        headers = {"X-Request-Id": request_id}
+        if self.says_leaving:
+            self.checker.record_leaving(self.id, request_id)
+            headers["Server-Leaving"] = "1"
+        return headers
+
     async def _execute(
         self, request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
@@ -167,7 +177,10 @@
             await asyncio.sleep(float(headers["X-Deadline-Ms"]) / 1000 + 1)
         if misbehavior is Misbehavior.WRONG_REQUEST_ID:
             request_id = "0" * len(request_id)
-        response_headers = {"X-Server-Signature": self.id, "X-Request-Id": request_id}
+        response_headers = {
+            "X-Server-Signature": self.id,
+            **self._response_headers(request_id),
+        }
         if kind is not None and kind.is_stream():
             return await self._stream(request, path, response_headers, misbehavior)
         await asyncio.sleep(PLAIN_CALL_S)
--- a/tests/standins/test_faults.py
+++ b/tests/standins/test_faults.py
@@ -121,6 +121,11 @@
     start_run(checker, add_attempt(checker, LOOKUP))
 
 
+def _leaving_upstream(checker: InvariantChecker) -> None:
+    checker.leaving_said_s["i-1", "vm-1"] = 5.0
+    start_run(checker, add_attempt(checker, LOOKUP))
+
+
 def _denied_request(checker: InvariantChecker) -> None:
     checker.initial_keys.add(KEY)
     checker.check_response(
@@ -175,6 +180,7 @@
         (_extended_deadline, "deadline was extended"),
         (_withdrawn_key, "ran with a withdrawn key"),
         (_draining_upstream, "ran on a draining upstream"),
+        (_leaving_upstream, "upstream that said that it leaves"),
         (_denied_request, "allowed request was denied"),
         (_wrong_body, "unexpected response body"),
         (_lost_event, "events missing or out of order"),
