--- a/packages/core/src/damasksaddle/utils/connections.py
+++ b/packages/core/src/damasksaddle/utils/connections.py
@@ -134,8 +134,9 @@
         self._refused_bytes = 0
 
     def data_received(self, data: bytes) -> None:
+        # The library calls this without data when it resumes reading.
         if not data:
-            super().data_received(data)
+            self._parse(data)
         while data and self.transport is not None and not self.transport.is_closing():
             allowed_bytes = self._allowed_bytes()
             if allowed_bytes <= 0:
@@ -146,12 +147,15 @@
             self._received_bytes += len(piece)
             if not self._request_in_progress and not self._body.is_eof():
                 self._refused_bytes += len(piece)
-            requests = self._request_count
-            super().data_received(piece)
-            if self._request_count != requests:
-                self._body = self._messages[-1][1]
-                self._received_bytes = self._body.total_bytes
-                self._refused_bytes = 0
+            self._parse(piece)
+
+    def _parse(self, data: bytes) -> None:
+        requests = self._request_count
+        super().data_received(data)
+        if self._request_count != requests:
+            self._body = self._messages[-1][1]
+            self._received_bytes = self._body.total_bytes
+            self._refused_bytes = 0
 
     def _allowed_bytes(self) -> int:
         if self._refused_bytes > MAX_REFUSED_BODY_BYTES:
