Tell callers to come back when the list has been read, if all upstreams leave

With every upstream of a service draining or leaving, or none listed, requests were refused at once with Retry-After 0.2, so callers used up their tries while no VM could know another upstream. The refusal names a third of the drain time now (0.667 s), in which every VM reads the list again. A stream under way is not cut, and none goes on at an upstream that leaves; the tests hold that.

The test of Retry-After failed before.

--- a/packages/gateway/src/damasksaddle_gateway/eligibility.py
+++ b/packages/gateway/src/damasksaddle_gateway/eligibility.py
@@ -125,6 +125,13 @@
             if not isinstance(verdict, Excluded) and (verdict.healthy or not healthy)
         ]
 
+    def all_leave(self) -> bool:
+        """Tells whether no upstream of the service takes new requests."""
+        return all(
+            verdict in (Excluded(Reason.DRAINING), Excluded(Reason.LEAVING))
+            for verdict in self.verdicts.values()
+        )
+
     def first_permit(self) -> Upstream | None:
         """
         Returns the upstream whose rate limit permits a request first.
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -514,14 +514,17 @@
                 call.permit_retry_s = retry_after_s
                 return False
 
-    @staticmethod
-    def _no_upstream_refusal(call: Call, survey: Survey) -> Refusal:
+    def _no_upstream_refusal(self, call: Call, survey: Survey) -> Refusal:
         if call.may_have_run:
             return OutcomeUnknown()
+        retry_after_s = max(NO_UPSTREAM_RETRY_S, call.permit_retry_s)
+        if survey.all_leave():
+            # Only the list can name another upstream.
+            retry_after_s = self._config_watcher.upstream_poll_s()
         return UpstreamUnavailable(
             f"tried {len(call.tried_upstreams)}, {call.rejections} rejections as full, "
             f"{survey}",
-            retry_after_s=max(NO_UPSTREAM_RETRY_S, call.permit_retry_s),
+            retry_after_s=retry_after_s,
         )
 
     def _check_retry_allowed(self, call: Call) -> None:
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/test_leaving_upstreams.py
@@ -13,6 +13,7 @@
 from damasksaddle.platform import Put, Row
 from damasksaddle_gateway.config_watcher import (
     LEAVING_RETENTION_S,
+    UPSTREAM_POLL_SHARE,
     ConfigWatcher,
 )
 from damasksaddle_gateway.eligibility import available_upstreams
@@ -102,6 +103,23 @@
         assert float(headers["Retry-After"]) > 0
 
 
+async def test_streams_under_way_are_not_cut_if_all_upstreams_leave() -> None:
+    """Guards against cutting streams, and against refusals that burn callers' tries."""
+    upstream = streaming_handler(*EVENTS, pause_s=0.3, Server_Leaving="1")
+    async with run_gateway(upstream) as gateway:
+        under_way = asyncio.create_task(gateway.send("/turn/x"))
+        await asyncio.sleep(0.2)
+        async with asyncio.timeout(0.05):
+            status, _, headers = await gateway.send("/turn/x")
+        assert status == 503
+        # The drain time of 2 s of this gateway; by then it has read the list again.
+        assert float(headers["Retry-After"]) == pytest.approx(
+            2 * UPSTREAM_POLL_SHARE, abs=1e-3
+        )
+        status, body, _ = await under_way
+        assert (status, body) == (200, b"".join(EVENTS))
+
+
 async def test_a_stream_does_not_go_on_at_an_upstream_that_leaves() -> None:
     """Guards against taking a stream up at the upstream that broke it off."""
     upstream = streaming_handler(EVENTS[0], complete=False, Server_Leaving="1")
