Forward compressed request bodies unchanged

What upstreams saw: a request with 28 bytes of gzip and `Content-Encoding: gzip` arrived as 17 bytes of text with the same header; a body that is not valid gzip got status 500. Cause: the HTTP library decompresses bodies by default, and only the client's side had that switched off.

--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -97,6 +97,7 @@
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
         keepalive_timeout=CALLER_KEEPALIVE_S,
+        auto_decompress=False,
     )
 
 
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -1,6 +1,7 @@
 """Requests through a gateway over real sockets."""
 
 import asyncio
+import gzip
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -269,6 +270,17 @@
         )
 
 
+async def test_a_compressed_body_is_forwarded_unchanged() -> None:
+    """Guards against upstreams that get another body than the caller sent."""
+    body = gzip.compress(b"hello hello hello")
+    async with run_gateway(respond_ok) as gateway:
+        status, response, _ = await gateway.send(
+            "/once/x", body=body, Content_Encoding="gzip"
+        )
+        assert (status, response) == (200, b"done " + body)
+        assert gateway.received[0].headers["Content-Encoding"] == "gzip"
+
+
 async def test_unknown_keys_and_routes_are_refused() -> None:
     """Guards against running a request that the configuration does not permit."""
     async with run_gateway(respond_ok) as gateway:
