Tell a caller that waits to send its body to continue

A caller that sends `Expect: 100-continue` got nothing until its body timed out (408), or until it gave up waiting and sent it: the library's low-level server leaves the interim response to the handler. A request that is refused at its head still gets the refusal instead. The new test timed out before.

--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -131,6 +131,14 @@
         raise BodyTimeout from error
 
 
+async def _continue_body(request: web.BaseRequest) -> None:
+    """Answers a caller that waits for permission to send its body."""
+    if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        # The head of the response does not depend on what was written before.
+        request.writer.output_size = 0
+
+
 def _find_route(request: web.BaseRequest, config: RoutingConfig) -> Route | None:
     path = request.raw_path.partition("?")[0]
     return config.find_route(request.headers.get(hdrs.HOST, ""), path)
@@ -381,6 +389,7 @@
             # The body of a request that is refused for the stop need not arrive.
             self._check_stop(started_s, _deadline_s(started_s, route, metadata))
             body_time_ms = min(body_time_ms, route.timeout_ms)
+        await _continue_body(request)
         body = await read_body(request, limits.max_body_bytes, body_time_ms / 1000)
         config = self._current_config()
         check_header_size(request, config.limits.max_header_bytes)
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -281,6 +281,13 @@
         assert gateway.received[0].headers["Content-Encoding"] == "gzip"
 
 
+async def test_a_caller_that_waits_to_send_its_body_is_told_to_continue() -> None:
+    """Guards against a body that is never sent."""
+    async with run_gateway(respond_ok) as gateway, asyncio.timeout(0.5):
+        status, body, _ = await gateway.send("/once/x", Expect="100-continue")
+        assert (status, body) == (200, b"done body")
+
+
 async def test_unknown_keys_and_routes_are_refused() -> None:
     """Guards against running a request that the configuration does not permit."""
     async with run_gateway(respond_ok) as gateway:
