Answer the requests behind another before a stop closes their connection

What callers saw: of two requests sent one behind the other on a connection to a VM that stops, the second was read and the connection closed without its answer, up to a second after its last byte.

Cause: each response in a stop closes its connection, also when the server has read another request from it. The connection stays open now while such requests wait; the last one's response closes it.

Not covered: a request that arrives between the last response and the close, and a stream, whose head is sent before later requests are known.

--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -320,12 +320,13 @@
             call = await self._admit(request, metadata, progress)
             count(Counter.REQUESTS)
             response = await self._serve(request, call)
-            if self.draining:
-                response.force_close()
+            self._close_after(request, response)
             measure(Timing.RESPONSE, (boottime_s() - started_s) * 1000)
             return response
         except Refusal as error:
-            return self._refuse(metadata, error, started_s)
+            response = self._refuse(metadata, error, started_s)
+            self._close_after(request, response)
+            return response
         except asyncio.CancelledError:
             if not progress.was_cut:
                 count(Counter.CALLER_DISCONNECTS)
@@ -345,6 +346,14 @@
                 count(Counter.REQUESTS_CUT, progress.phase)
                 log.warning("The end of the process cut a request.", **fields)
 
+    def _close_after(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        """Tells the caller of a VM that stops that this response is the last one."""
+        # A request that was read behind this one would be dropped with the connection.
+        if self.draining and not request.protocol._messages:
+            response.force_close()
+
     def _refuse(
         self, metadata: RequestMetadata, error: Refusal, started_s: float
     ) -> web.Response:
@@ -371,8 +380,6 @@
         response = web.Response(status=error.status, text=error.code)
         if error.retry_after_s is not None:
             response.headers[hdrs.RETRY_AFTER] = f"{error.retry_after_s:.3f}"
-        if self.draining:
-            response.force_close()
         return response
 
     async def _admit(
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -170,6 +170,23 @@
         await gateway.stop()
 
 
+async def test_a_request_sent_behind_another_is_answered_in_a_stop(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against dropping a request that was read before the last response."""
+    async with running_gateway(rows, table, grace_s=8.0) as gateway:
+        reader, writer = await asyncio.open_connection(
+            *gateway._runners[0].addresses[0][:2]
+        )
+        writer.write(_head(2, 1.0) + b"{}" + _head(2, 0.1) + b"{}")
+        while not gateway.request_handler.active_requests:
+            await asyncio.sleep(0.01)
+        stop = asyncio.create_task(_stop(gateway))
+        assert (await reader.read()).count(b"filed") == 2
+        writer.close()
+        await stop
+
+
 async def test_a_grace_period_that_is_too_short_is_reported(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
