Fit a stop to a configuration that arrives during it

What callers saw: GraceS 8, TimeoutMs 1000, SIGTERM, and 1 s later a configuration with TimeoutMs 4000; a request sent 4.4 s after the signal ran and was cut 3.3 s later.

Cause: until when requests of any length are taken was fixed at the signal, from the longest timeout of that moment: 4.7 s, which fits 1 s and not 4 s. It follows the configuration and the settings during the stop now, and can only become earlier. Also a shorter grace period that is reloaded during a stop counts.

--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -208,9 +208,11 @@
         self.directory = Directory(
             self.request_handler, self.membership, codec, self._address_ttl_s
         )
-        self.config_watcher.on_applied = self._check_grace_period
+        self.config_watcher.on_applied = self._on_configuration
         self._runners: list[web.ServerRunner] = []
-        self._stop_deadline_s = -math.inf
+        # While it stops: since when, and until when requests are served.
+        self._stop_started_s: float | None = None
+        self._stop_deadline_s = math.inf
 
     def _longest_request_s(self) -> float:
         config = self.config_watcher.config
@@ -219,6 +221,27 @@
     def _address_ttl_s(self) -> float:
         return address_ttl_s(self.settings, self._longest_request_s())
 
+    def _on_configuration(self) -> None:
+        self._check_grace_period()
+        if self._stop_started_s is not None:
+            self._limit_stop(self._stop_started_s)
+
+    def _limit_stop(self, started_s: float) -> None:
+        """
+        Fits a stop to the settings and the configuration.
+
+        What is changed during a stop can only shorten it: callers have been told to
+        leave, and the process may be killed at the end of the first grace period.
+        """
+        deadline_s = started_s + serving_s(self.settings)
+        self._stop_deadline_s = min(self._stop_deadline_s, deadline_s)
+        address_life_s = LEAVE_PROPAGATION_S + (
+            self._address_ttl_s() * ADDRESS_RETENTION_FACTOR
+        )
+        self.request_handler.start_draining(
+            started_s + address_life_s, self._stop_deadline_s
+        )
+
     def _check_grace_period(self) -> None:
         """Logs settings with which a planned stop may have to refuse requests."""
         longest_request_s = self._longest_request_s()
@@ -287,7 +310,7 @@
         self.config_watcher.drain_ms = settings.drain_ms
         self.request_handler.key_revocation_ms = settings.key_revocation_ms
         self.budgets.settle_s = settings.settle_ms / 1000
-        self._check_grace_period()
+        self._on_configuration()
 
     async def drain(self) -> None:
         """
@@ -301,17 +324,13 @@
         log.info(
             "Leaving.", vm=settings.vm, running=self.request_handler.active_requests
         )
-        deadline_s = started_s + serving_s(settings)
-        self._stop_deadline_s = deadline_s
-        address_life_s = LEAVE_PROPAGATION_S + (
-            self._address_ttl_s() * ADDRESS_RETENTION_FACTOR
-        )
-        self.request_handler.start_draining(started_s + address_life_s, deadline_s)
+        self._stop_started_s = started_s
+        self._limit_stop(started_s)
         await self.membership.leave()
         addresses_expire_s = (
             started_s + settings.address_ttl_s * ADDRESS_RETENTION_FACTOR
         )
-        while boottime_s() < deadline_s:
+        while boottime_s() < self._stop_deadline_s:
             if (
                 boottime_s() >= addresses_expire_s
                 and not self.request_handler.active_requests
@@ -322,7 +341,7 @@
             "Closing the listeners.",
             vm=settings.vm,
             running=self.request_handler.active_requests,
-            left_ms=round((deadline_s - boottime_s()) * 1000),
+            left_ms=round((self._stop_deadline_s - boottime_s()) * 1000),
         )
 
     async def _finish_requests(self) -> None:
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -284,11 +284,12 @@
         """
         Tells callers to leave; the process serves until `stop_deadline_s`.
 
-        After `addresses_expire_s`, requests that might take longer are refused.
+        After `addresses_expire_s`, requests that might take longer are refused. If
+        called again, the earlier times hold.
         """
         self.draining = True
-        self._addresses_expire_s = addresses_expire_s
-        self._stop_deadline_s = stop_deadline_s
+        self._addresses_expire_s = min(self._addresses_expire_s, addresses_expire_s)
+        self._stop_deadline_s = min(self._stop_deadline_s, stop_deadline_s)
 
     def _check_stop(self, started_s: float, deadline_s: float) -> None:
         """Raises `Stopping` for a late request that may run when the process ends."""
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -27,17 +27,16 @@
 # Longer than the time after which a stop used to cut connections.
 WORK_S = 1.0
 TIMEOUT_MS = 3000
+ROUTE = {
+    "Host": "desk.example",
+    "Prefix": "/file/",
+    "Type": "non_idempotent",
+    "TimeoutMs": TIMEOUT_MS,
+    "Service": "app",
+}
 CONFIG = {
     "Version": 1,
-    "Routes": [
-        {
-            "Host": "desk.example",
-            "Prefix": "/file/",
-            "Type": "non_idempotent",
-            "TimeoutMs": TIMEOUT_MS,
-            "Service": "app",
-        }
-    ],
+    "Routes": [ROUTE],
     "Services": [{"Name": "app"}],
     "Tenants": [{"Name": "ngo", "ApiKeys": [KEY]}],
 }
@@ -170,6 +169,26 @@
         await gateway.stop()
 
 
+async def test_a_timeout_that_a_stop_cannot_fit_is_refused_when_it_is_configured(
+    rows: VersionedRows, table: MemoryVersionedTable, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against cutting requests that a new configuration makes longer."""
+    monkeypatch.setitem(CONFIG, "Routes", [{**ROUTE, "TimeoutMs": 1000}])
+    async with running_gateway(rows, table, address_ttl_s=1.5, grace_s=8.0) as gateway:
+        reader, writer = await asyncio.open_connection(
+            *gateway._runners[0].addresses[0][:2]
+        )
+        stop = asyncio.create_task(_stop(gateway))
+        await asyncio.sleep(1.0)
+        changed = {**CONFIG, "Version": 2, "Routes": [{**ROUTE, "TimeoutMs": 4000}]}
+        rows.apply([Put("op//config", json.dumps(changed))])
+        await asyncio.sleep(3.4)
+        writer.write(_head(2, 3.5, deadline_ms=4000) + b"{}")
+        assert b" 503 " in await reader.read()
+        writer.close()
+        await stop
+
+
 async def test_a_request_sent_behind_another_is_answered_in_a_stop(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
@@ -224,12 +243,12 @@
     assert not any("disconnected" in record.message for record in records.records)
 
 
-def _head(length: int, work_s: float) -> bytes:
+def _head(length: int, work_s: float, deadline_ms: int = TIMEOUT_MS) -> bytes:
     headers = {
         "Host": "desk.example",
         "Authorization": f"Token {KEY}",
         "X-Request-Id": "r2",
-        "X-Deadline-Ms": str(TIMEOUT_MS),
+        "X-Deadline-Ms": str(deadline_ms),
         "X-Work-S": str(work_s),
         "Content-Length": str(length),
     }
