Log a request as cut only if it gets no response

A stop logged what it might cut, and then waited up to 0.2 s more, in which a request could still be answered: with GraceS 2 and 1.54 s of work the caller had its 200 beside the line that the request was cut. A handler logs it now when it is cancelled. A response that is still written keeps its workspace and route in the line. The new test found the line before.

--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -379,9 +379,12 @@
 
     async def on_stop(self) -> None:
         await self._finish_requests()
-        self.request_handler.record_cut(self._unfinished_connections())
+        self.request_handler.mark_cut(self._unfinished_connections())
         for runner in self._runners:
             await runner.cleanup()
+        if self.request_handler.active_requests:
+            # Lets the handlers that were cancelled end, and log that they were cut.
+            await asyncio.sleep(STOP_POLL_S)
         await self.upstreams.stop()
         log.info(
             "Stopped.",
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -197,15 +197,28 @@
     """
     The progress of the last request on a connection.
 
-    `call` is set once the request has a route, until its response is ready. `was_cut`
-    is set if the end of the process cancels the request.
+    `call` is set once the request has a route, until its response is ready. `is_cut` is
+    set if the process ends before.
     """
 
     request_id: str
     started_s: float
+    workspace: str = ""
+    route: str = ""
     call: Call | None = None
     has_response: bool = False
-    was_cut: bool = False
+    is_cut: bool = False
+
+    def admit(self, call: Call) -> None:
+        """Records that the request has a route."""
+        self.call = call
+        self.workspace = call.workspace.name if call.workspace else ""
+        self.route = call.route.name
+
+    def finish(self) -> None:
+        """Records that the response is ready, and releases the call."""
+        self.call = None
+        self.has_response = True
 
     @property
     def phase(self) -> Phase:
@@ -223,17 +236,17 @@
         return {
             "request": self.request_id,
             "phase": self.phase,
-            "workspace": call.workspace.name if call and call.workspace else "",
-            "route": call.route.name if call else "",
+            "workspace": self.workspace,
+            "route": self.route,
             "tried": ",".join(call.tried_upstreams) if call else "",
             "after_ms": round((boottime_s() - self.started_s) * 1000),
             "left_ms": round(call.time_left_s() * 1000) if call else None,
         }
 
-    def finish(self) -> None:
-        """Releases what only a request without a response needs."""
-        self.call = None
-        self.has_response = True
+    def log_cut(self) -> None:
+        """Logs that the end of the process cuts the request."""
+        count(Counter.REQUESTS_CUT, self.phase)
+        log.warning("The end of the process cut a request.", **self.log_fields())
 
 
 class RequestHandler:
@@ -329,7 +342,9 @@
             self._close_after(request, response)
             return response
         except asyncio.CancelledError:
-            if not progress.was_cut:
+            if progress.is_cut:
+                progress.log_cut()
+            else:
                 count(Counter.CALLER_DISCONNECTS)
                 log.info("The caller disconnected.", **progress.log_fields())
             raise
@@ -337,15 +352,16 @@
             progress.finish()
             self.active_requests -= 1
 
-    def record_cut(self, connections: Iterable[asyncio.BaseTransport]) -> None:
-        """Logs requests whose connections the end of the process cuts."""
+    def mark_cut(self, connections: Iterable[asyncio.BaseTransport]) -> None:
+        """Has requests logged if the end of the process cuts their connections."""
         for connection in connections:
             progress = self._progress.get(connection)
-            if progress is not None:
-                progress.was_cut = True
-                fields = progress.log_fields()
-                count(Counter.REQUESTS_CUT, progress.phase)
-                log.warning("The end of the process cut a request.", **fields)
+            if progress is None:
+                continue
+            progress.is_cut = True
+            if progress.has_response:
+                # Nothing tells whether the rest of the response is still written.
+                progress.log_cut()
 
     def _close_after(
         self, request: web.BaseRequest, response: web.StreamResponse
@@ -430,7 +446,7 @@
             events=EventSplitter(metadata.last_event_id),
             draining=self.draining,
         )
-        progress.call = call
+        progress.admit(call)
         self._check_stop(started_s, call.deadline_s)
         if _exceeds_engine_memory(call):
             raise UpstreamUnavailable("the request exceeds an engine's memory")
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -220,21 +220,40 @@
             await gateway.stop()
 
 
+async def test_a_request_that_ends_as_a_stop_waits_is_not_logged_as_cut(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against a log that names answered requests as lost."""
+    with logbook.TestHandler() as records:
+        async with (
+            running_gateway(rows, table, grace_s=2.0) as gateway,
+            aiohttp.ClientSession() as session,
+        ):
+            call = _file_report(session, _url(gateway), work_s=1.54)
+            running = asyncio.create_task(call)
+            while not gateway.request_handler.active_requests:
+                await asyncio.sleep(0.01)
+            await _stop(gateway)
+            assert await running == (200, b"filed")
+    assert not any("cut" in record.message for record in records.records)
+
+
 async def test_a_request_that_a_stop_cuts_is_logged(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
     """Guards against a lost request that left no line with its id, age and progress."""
-    async with (
-        running_gateway(rows, table, grace_s=1.6) as gateway,
-        aiohttp.ClientSession() as session,
-    ):
-        running = asyncio.create_task(_file_report(session, _url(gateway), work_s=2.9))
-        while not gateway.request_handler.active_requests:
-            await asyncio.sleep(0.01)
-        with logbook.TestHandler() as records:
+    with logbook.TestHandler() as records:
+        async with (
+            running_gateway(rows, table, grace_s=1.6) as gateway,
+            aiohttp.ClientSession() as session,
+        ):
+            call = _file_report(session, _url(gateway), work_s=2.9)
+            running = asyncio.create_task(call)
+            while not gateway.request_handler.active_requests:
+                await asyncio.sleep(0.01)
             await _stop(gateway)
-        with pytest.raises(aiohttp.ServerDisconnectedError):
-            await running
+            with pytest.raises(aiohttp.ServerDisconnectedError):
+                await running
     cut = [record for record in records.records if "cut" in record.message]
     assert [record.extra["fields"]["request"] for record in cut] == ["r1"]
     fields = cut[0].extra["fields"]
