Keep a connection open until its caller has the last response of a stop

What callers saw: in a stop, a response of 3 MB to a slow reader broke off after 1.5 MB with a reset, when the caller sent its next request before it had read all. The request had run and must not run twice. No line in the log names it.

Cause: the server closed the connection when it had written the response, of which the kernel still held a part. A request that arrives after that makes the kernel reset the connection and discard that part.

The last response still says `Connection: close`; the connection then sends its end and discards what arrives, and closes when the caller has closed it, or with the stop.

--- a/packages/core/src/damasksaddle/utils/connections.py
+++ b/packages/core/src/damasksaddle/utils/connections.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import web
+from aiohttp import hdrs, web
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
@@ -122,7 +122,7 @@
 class _CallerConnection(RequestHandler):
     """A server's connection; the first bytes that exceed its bounds close it."""
 
-    __slots__ = ("_body", "_received_bytes", "_refused_bytes")
+    __slots__ = ("_body", "_received_bytes", "_refused_bytes", "_ends", "_has_ended")
 
     def __init__(self, manager: web.Server, **options: Any) -> None:
         super().__init__(manager, **options)
@@ -132,16 +132,43 @@
         self._received_bytes = 0
         # Of that body, after the response.
         self._refused_bytes = 0
+        # Whether the next response is the last one, and whether it has been written.
+        self._ends = self._has_ended = False
+
+    def end_after_response(self) -> None:
+        """
+        Makes the next response the last one on this connection.
+
+        The connection then sends its end, but stays open until the caller has closed
+        it. If it were closed while a part of the response is in transit, a request
+        from the caller would reset it, and that part would be lost.
+        """
+        self._ends = True
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: Any
+    ) -> tuple[web.StreamResponse, bool]:
+        result = await super().finish_response(request, resp, start_time)
+        if self._ends and self.transport is not None:
+            self._has_ended = True
+            # The response said that requests behind it are not served.
+            self._messages.clear()
+            self.transport.write_eof()
+        return result
 
     def data_received(self, data: bytes) -> None:
+        if self._has_ended:
+            self._refused_bytes += len(data)
+            if self._refused_bytes > MAX_REFUSED_BODY_BYTES:
+                self._refuse()
+            return
         # The library calls this without data when it resumes reading.
         if not data:
             self._parse(data)
         while data and self.transport is not None and not self.transport.is_closing():
             allowed_bytes = self._allowed_bytes()
             if allowed_bytes <= 0:
-                log.info("A caller's connection was cut off.", peer=self.peername)
-                self.transport.abort()
+                self._refuse()
                 return
             piece, data = data[:allowed_bytes], data[allowed_bytes:]
             self._received_bytes += len(piece)
@@ -166,6 +193,27 @@
             overhead_bytes = 0
         return _allowed_bytes(overhead_bytes, body_bytes, MAX_REQUEST_OVERHEAD_BYTES)
 
+    def _refuse(self) -> None:
+        if self.transport is not None:
+            log.info("A caller's connection was cut off.", peer=self.peername)
+            self.transport.abort()
+
+
+def close_after(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """
+    Tells a caller that a response is the last one on its connection.
+
+    It is not if another request has already been read, which would be dropped.
+    """
+    connection = request.protocol
+    if connection._messages:
+        return
+    if isinstance(connection, _CallerConnection) and request.content.is_eof():
+        response.headers[hdrs.CONNECTION] = "close"
+        connection.end_after_response()
+    else:
+        response.force_close()
+
 
 class BoundedServer(web.Server):
     """Accepts connections that bound what callers send."""
--- a/packages/gateway/src/damasksaddle_gateway/relay.py
+++ b/packages/gateway/src/damasksaddle_gateway/relay.py
@@ -10,6 +10,7 @@
 
 from damasksaddle.exceptions import OutcomeUnknown, SizeLimitExceeded
 from damasksaddle.utils import Counter, count, get_logger
+from damasksaddle.utils.connections import close_after
 from damasksaddle_gateway.calls import Call
 from damasksaddle_gateway.events import EventOutOfOrder
 from damasksaddle_gateway.interfaces import HeaderCodec
@@ -87,7 +88,7 @@
             )
             response.enable_chunked_encoding()
             if call.draining:
-                response.force_close()
+                close_after(request, response)
             call.response = response
             await response.prepare(request)
         return call.response
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -40,6 +40,7 @@
     measure,
     read_limited,
 )
+from damasksaddle.utils.connections import close_after
 from damasksaddle_gateway.calls import Call, request_fingerprints
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.coordinators import STORE_RETRY_S
@@ -334,12 +335,14 @@
             call = await self._admit(request, metadata, progress)
             count(Counter.REQUESTS)
             response = await self._serve(request, call)
-            self._close_after(request, response)
+            if self.draining and not response.prepared:
+                close_after(request, response)
             measure(Timing.RESPONSE, (boottime_s() - started_s) * 1000)
             return response
         except Refusal as error:
             response = self._refuse(metadata, error, started_s)
-            self._close_after(request, response)
+            if self.draining:
+                close_after(request, response)
             return response
         except asyncio.CancelledError:
             if progress.is_cut:
@@ -363,14 +366,6 @@
                 # Nothing tells whether the rest of the response is still written.
                 progress.log_cut()
 
-    def _close_after(
-        self, request: web.BaseRequest, response: web.StreamResponse
-    ) -> None:
-        """Tells the caller of a VM that stops that this response is the last one."""
-        # A request that was read behind this one would be dropped with the connection.
-        if self.draining and not request.protocol._messages:
-            response.force_close()
-
     def _refuse(
         self, metadata: RequestMetadata, error: Refusal, started_s: float
     ) -> web.Response:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -27,6 +27,8 @@
 # Longer than the time after which a stop used to cut connections.
 WORK_S = 1.0
 TIMEOUT_MS = 3000
+# More than the socket buffers of the caller hold.
+LARGE_BYTES = 2_000_000
 ROUTE = {
     "Host": "desk.example",
     "Prefix": "/file/",
@@ -44,7 +46,8 @@
 
 async def _respond(request: web.BaseRequest) -> web.StreamResponse:
     await asyncio.sleep(float(request.headers["X-Work-S"]))
-    return web.Response(body=b"filed", headers={"X-Server-Signature": "s1"})
+    body = b"filed".ljust(int(request.headers.get("X-Size", 0)))
+    return web.Response(body=body, headers={"X-Server-Signature": "s1"})
 
 
 async def _file_report(
@@ -206,6 +209,33 @@
         await stop
 
 
+async def test_a_response_is_whole_when_a_request_arrives_behind_it(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against a reset that discards the part of a response still in transit."""
+    async with running_gateway(rows, table, address_ttl_s=0.1, grace_s=6.0) as gateway:
+        await gateway.drain()
+        loop = asyncio.get_running_loop()
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            client.setblocking(False)
+            address = gateway._runners[0].addresses[0][:2]
+            await loop.sock_connect(client, address)
+            await loop.sock_sendall(
+                client, _head(2, 0.0, response_bytes=LARGE_BYTES) + b"{}"
+            )
+            received = 0
+            while data := await loop.sock_recv(client, 30_000):
+                received += len(data)
+                if received == len(data):
+                    # The server has written all of it to its socket by then.
+                    await asyncio.sleep(0.3)
+                    await loop.sock_sendall(client, _head(2, 0.0) + b"{}")
+                    await asyncio.sleep(0.1)
+            assert received > LARGE_BYTES
+        await gateway.stop()
+
+
 async def test_a_grace_period_that_is_too_short_is_reported(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
@@ -262,13 +292,19 @@
     assert not any("disconnected" in record.message for record in records.records)
 
 
-def _head(length: int, work_s: float, deadline_ms: int = TIMEOUT_MS) -> bytes:
+def _head(
+    length: int,
+    work_s: float,
+    deadline_ms: int = TIMEOUT_MS,
+    response_bytes: int = 0,
+) -> bytes:
     headers = {
         "Host": "desk.example",
         "Authorization": f"Token {KEY}",
         "X-Request-Id": "r2",
         "X-Deadline-Ms": str(deadline_ms),
         "X-Work-S": str(work_s),
+        "X-Size": str(response_bytes),
         "Content-Length": str(length),
     }
     lines = [f"{name}: {value}" for name, value in headers.items()]
