--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -9,8 +9,6 @@
 import asyncio
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import StrEnum
 from weakref import WeakKeyDictionary
 
 from aiohttp import hdrs, web
@@ -56,6 +54,7 @@
 from damasksaddle_gateway.interfaces import HeaderCodec, RequestMetadata
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.placement import Placement
+from damasksaddle_gateway.progress import Progress
 from damasksaddle_gateway.quarantine import Quarantine
 from damasksaddle_gateway.rate_limiter import RateLimiter
 from damasksaddle_gateway.relay import ResponseRelay
@@ -184,72 +183,6 @@
         raise HeadersTooLarge
 
 
-class Phase(StrEnum):
-    """How far a request has come."""
-
-    ADMISSION = "admission"
-    QUEUED = "queued"
-    UPSTREAM = "upstream"
-    RESPONSE = "response"
-
-
-@dataclass(slots=True, eq=False)
-class _Progress:
-    """
-    The progress of the last request on a connection.
-
-    `call` is set once the request has a route, until its response is ready. `is_cut` is
-    set if the process ends before.
-    """
-
-    request_id: str
-    started_s: float
-    workspace: str = ""
-    route: str = ""
-    call: Call | None = None
-    has_response: bool = False
-    is_cut: bool = False
-
-    def admit(self, call: Call) -> None:
-        """Records that the request has a route."""
-        self.call = call
-        self.workspace = call.workspace.name if call.workspace else ""
-        self.route = call.route.name
-
-    def finish(self) -> None:
-        """Records that the response is ready, and releases the call."""
-        self.call = None
-        self.has_response = True
-
-    @property
-    def phase(self) -> Phase:
-        if self.has_response:
-            return Phase.RESPONSE
-        if self.call is None:
-            return Phase.ADMISSION
-        if self.call.response is not None:
-            return Phase.RESPONSE
-        return Phase.UPSTREAM if self.call.may_have_run else Phase.QUEUED
-
-    def log_fields(self) -> dict[str, object]:
-        """Returns what explains why the caller has no whole response yet."""
-        call = self.call
-        return {
-            "request": self.request_id,
-            "phase": self.phase,
-            "workspace": self.workspace,
-            "route": self.route,
-            "tried": ",".join(call.tried_upstreams) if call else "",
-            "after_ms": round((boottime_s() - self.started_s) * 1000),
-            "left_ms": round(call.time_left_s() * 1000) if call else None,
-        }
-
-    def log_cut(self) -> None:
-        """Logs that the end of the process cuts the request."""
-        count(Counter.REQUESTS_CUT, self.phase)
-        log.warning("The end of the process cut a request.", **self.log_fields())
-
-
 class RequestHandler:
     """Serves the requests of callers."""
 
@@ -290,7 +223,7 @@
         self._addresses_expire_s = self._stop_deadline_s = math.inf
         self.active_requests = 0
         # By connection, for requests of connections that are open.
-        self._progress: WeakKeyDictionary[asyncio.BaseTransport, _Progress] = (
+        self._progress: WeakKeyDictionary[asyncio.BaseTransport, Progress] = (
             WeakKeyDictionary()
         )
 
@@ -327,7 +260,7 @@
         """Serves one request of a caller."""
         started_s = boottime_s()
         metadata = self._codec.decode_request(request.headers)
-        progress = _Progress(metadata.request_id, started_s)
+        progress = Progress(metadata.request_id, started_s)
         if request.transport is not None:
             self._progress[request.transport] = progress
         self.active_requests += 1
@@ -395,7 +328,7 @@
         return response
 
     async def _admit(
-        self, request: web.BaseRequest, metadata: RequestMetadata, progress: _Progress
+        self, request: web.BaseRequest, metadata: RequestMetadata, progress: Progress
     ) -> Call:
         started_s = progress.started_s
         limits = self._limits()
