Check the version after a permit without a read of the store

That may read the store, and wait for it while the permit lapses, once more for each new stream while the store is slow. It now takes the split as this VM knows it, at once.

--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -447,7 +447,7 @@
                 max_wait_s = deadline_s - boottime_s()
             if upstream is not None:
                 if await self._take_permit(call, upstream, max_wait_s):
-                    version = await self._version(call)
+                    version = self._known_version(call, version)
                     # Room that others took during the wait does not void a permit.
                     match self._eligibility.verdict(call, version, upstream):
                         case Eligible() | Busy():
@@ -480,6 +480,13 @@
             call.service.name, call.version_key
         )
 
+    def _known_version(self, call: Call, version: str | None) -> str | None:
+        """Returns the version that a call needs after a wait, when it was `version`."""
+        if version is None or call.version is not None:
+            return version
+        splits = self._stream_versions.splits
+        return splits.known_version(call.service.name, call.version_key) or version
+
     async def _reassign(self, call: Call, version: str | None) -> bool:
         """
         Moves a stream that has not begun to another version if its own has no upstream.
--- a/packages/gateway/src/damasksaddle_gateway/version_splits.py
+++ b/packages/gateway/src/damasksaddle_gateway/version_splits.py
@@ -203,6 +203,11 @@
             raise NotFresh(f"{service}: no version split", retry_after_s=RETRY_S)
         return known.split.versions[shard_of(key)]
 
+    def known_version(self, service: str, key: str) -> str | None:
+        """Returns the version of a program's streams, without a read of the store."""
+        split = self._get(service).split
+        return None if split is None else split.versions[shard_of(key)]
+
     async def verified_version(self, service: str, key: str) -> str | None:
         """
         Returns the version at which any stream of a program began.
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/test_leaving_upstreams.py
@@ -143,6 +143,9 @@
         watcher.config = replace(CONFIG, routes=(streams,))
         version, asked = "v0", []
 
+        def known_version(service: str, key: str) -> str:
+            return version
+
         async def assigned_version(service: str, key: str) -> str:
             return version
 
@@ -159,6 +162,7 @@
 
         splits = handler._stream_versions.splits
         splits.assigned_version = assigned_version  # type: ignore[method-assign]
+        splits.known_version = known_version  # type: ignore[method-assign]
         handler._upstream_limits.take_permit = take_permit  # type: ignore[method-assign]
         assert (await gateway.send("/turn/x"))[0] == 200
         assert asked == ["u0", "u1", "u2"]
