Read a stream's new rows before an append is rejected

Cause: a VM that is the committer of a stream, loses it to a VM that joins and gets it back when that one leaves, went on with the position and the holders of its first time. It rejected the records of all partitions opened since ("This VM no longer holds the partition."), so their calls ended with an unknown outcome. It needs one VM to be in the fleet for a second before another joins, which on a busy machine happens when the test starts. Worse: where the partition was opened before, the check passed, and if rows had been archived since, the record was inserted in the gap between them, where no reader finds it.

Change: an append is rejected only after the rows of other committers were read, and the state of a stream is loaded anew by a VM that has become its committer again. The first also covers a former committer that writes for a moment longer.

Ruled out: PartitionManager.close against repeated appends; it was not involved.

The three new tests failed before. Each half of the change alone fails one of them.

--- a/packages/node/src/damasksaddle_node/commit/committer.py
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -3,7 +3,8 @@
 
 A stream usually has one committer, but correctness does not depend on that: each
 position can be inserted only once, and a committer whose next position is taken reads
-the new rows before it writes again.
+the new rows before it writes again. It also reads them before it rejects an append,
+because the row that opened the partition may be another committer's.
 """
 
 import asyncio
@@ -33,6 +34,7 @@
     load_row,
 )
 from damasksaddle_node.fleet.log import FleetLog
+from damasksaddle_node.fleet.records import FleetRecord
 from damasksaddle_node.peers import Handlers, PeerPool, Sender
 from damasksaddle_node.settings import Timing
 from damasksaddle_protocol import Append, Appended, ProgramQuery
@@ -107,6 +109,8 @@
         self._timing = timing
         self._queue: list[_PendingAppend] = []
         self._next_block_end = BLOCK_ROWS
+        # Another VM has been the committer since `position` was read.
+        self._outdated = False
         self._wake = asyncio.Event()
 
     def enqueue(self, append: _PendingAppend) -> None:
@@ -117,9 +121,13 @@
         """Loads the stream's state if this VM has just become its committer."""
         self._wake.set()
 
+    def on_roster_change(self) -> None:
+        """Has the stream's state loaded again if another VM is its committer now."""
+        self._outdated |= not self.is_owned()
+
     def orphaned_partitions(self) -> list[int]:
         """Returns the partitions whose holder is no longer a member of the fleet."""
-        if self.position is None or not self.is_owned():
+        if not self._is_loaded():
             return []
         members = self._fleet.state.members
         return [
@@ -130,8 +138,9 @@
 
     async def truncate(self) -> None:
         """Moves a block of rows that no takeover needs to the object store."""
-        if self.position is None or not self.is_owned():
+        if not self._is_loaded():
             return
+        assert self.position is not None
         # A new committer reads the stream from the last checkpoint row.
         truncation_end = self.position - 2 * CHECKPOINT_INTERVAL_ROWS
         for holder in self.holders.values():
@@ -149,6 +158,9 @@
     def is_owned(self) -> bool:
         return self._fleet.state.owners.stream(self.number) == self._vm_id
 
+    def _is_loaded(self) -> bool:
+        return self.position is not None and not self._outdated and self.is_owned()
+
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -163,16 +175,33 @@
 
     async def _commit_queue(self) -> None:
         if not self.is_owned():
-            self.position = None
             self._fail_all(self._pop_all(), NotOwner("not the committer"))
             return
+        if self._outdated:
+            self._outdated, self.position = False, None
         if self.position is None and not await self._load_state():
             self._fail_all(self._pop_all(), StoreUnavailable(retry_after_s=1.0))
             return
-        batch = self._next_batch()
+        batch, rejected = self._next_batch()
+        if rejected and await self._read_new_rows(list(rejected)):
+            self._queue = [*batch, *rejected, *self._queue]
+            return
+        for append, error in rejected.items():
+            append.fail(error)
         if batch:
             await self._write_row(batch)
 
+    async def _read_new_rows(self, rejected: list[_PendingAppend]) -> bool:
+        """Returns whether there are new rows; fails the appends if they are unknown."""
+        assert self.position is not None
+        position = self.position
+        try:
+            await self._read_rows_after(position)
+        except PlatformError as error:
+            log.warning("Reading a stream failed.", stream=self.number, reason=error)
+            self._fail_all(rejected, StoreUnavailable(retry_after_s=1.0))
+        return self.position != position
+
     def _pop_all(self) -> list[_PendingAppend]:
         taken, self._queue = self._queue, []
         return taken
@@ -223,8 +252,12 @@
                     holder = replace(holder, last=position)
             self.holders[entry.partition] = holder
 
-    def _next_batch(self) -> list[_PendingAppend]:
+    def _next_batch(
+        self,
+    ) -> tuple[list[_PendingAppend], dict[_PendingAppend, Refusal]]:
+        """Returns the appends of the next row, and those that must not be written."""
         batch: list[_PendingAppend] = []
+        rejected: dict[_PendingAppend, Refusal] = {}
         changed_partitions: set[int] = set()
         size_bytes = 0
         while self._queue and size_bytes < MAX_ROW_BYTES:
@@ -238,13 +271,13 @@
             try:
                 self._check_append(append)
             except Refusal as error:
-                append.fail(error)
+                rejected[append] = error
                 continue
             if append.kind in (EntryKind.OPENED, EntryKind.CLOSED):
                 changed_partitions.add(append.message.partition)
             size_bytes += append.size_bytes
             batch.append(append)
-        return batch
+        return batch, rejected
 
     def _check_append(self, append: _PendingAppend) -> None:
         """Raises `Refusal` unless the sender may append to the partition."""
@@ -326,6 +359,12 @@
     def register(self, handlers: Handlers) -> None:
         """Registers the handler of `Append` messages."""
         handlers.add(Append, self.on_append)
+        self._fleet.add_listener(self._on_fleet_record)
+
+    def _on_fleet_record(self, record: FleetRecord) -> None:
+        if record.kind.startswith("vm_"):
+            for stream in self.streams:
+                stream.on_roster_change()
 
     async def on_append(self, message: Append, sender: Sender) -> Appended:
         """Appends records of a partition; raises `Refusal` if they were not written."""
--- a/tests/node/commit/test_committer.py
+++ b/tests/node/commit/test_committer.py
@@ -61,3 +61,74 @@
         _, outcome = await fleet.call("vm0", request)
         assert outcome.http_status == 200
         assert len(tool.seen) == 1
+
+
+async def test_former_committer_writes_after_the_rows_archived_since(monkeypatch):
+    """
+    Guards against records that are written between archived rows, where none is read.
+
+    A VM that became the committer again continued at the position it had left off.
+    """
+    for name, value in (
+        ("commit.archive.BLOCK_ROWS", 4),
+        ("commit.committer.BLOCK_ROWS", 4),
+        ("commit.committer.CHECKPOINT_INTERVAL_ROWS", 4),
+        ("commit.client.CHECKPOINT_INTERVAL_ROWS", 4),
+        ("programs.snapshot.SNAPSHOT_RECORDS", 1),
+    ):
+        monkeypatch.setattr(f"damasksaddle_node.{name}", value)
+    async with LocalFleet(1) as fleet:
+        fleet.upstreams.tools["http://app-1"] = ToolService()
+        await fleet.apply("desk", DOCUMENT)
+        key = await fleet.give_key("ngo")
+        requests = {
+            partition_of("ngo", program): CallerRequest(
+                key, "desk", "act", b"{}", program_id=program
+            )
+            for program in ("p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7")
+        }
+        for request in requests.values():
+            await fleet.call("vm0", request)
+        joined = await fleet.start("vm1")
+        await fleet.wait_until_synced()
+        owners = joined.fleet.state.owners
+        number = next(
+            number
+            for number in requests
+            if owners.partition(number) != joined.vm_id == owners.stream(number % 4)
+        )
+
+        def first_position() -> int:
+            prefix = f"stream/{number % 4}/"
+            keys = [key for key in fleet.table.rows if key.startswith(prefix)]
+            return min(int(key.removeprefix(prefix)) for key in keys)
+
+        last_before_join = fleet.nodes["vm0"].committers.streams[number % 4].position
+        while first_position() <= last_before_join + 1:
+            await fleet.call("vm0", requests[number])
+            await fleet.sleep(2)
+        await fleet.leave("vm1")
+        await fleet.call("vm0", requests[number])
+        assert first_position() > last_before_join + 1
+
+
+async def test_append_is_rejected_only_after_new_rows_were_read():
+    """
+    Guards against a partition that is lost because its stream had two committers.
+
+    The former committer may write the row that opens a partition after the new one has
+    loaded the state of the stream.
+    """
+    async with LocalFleet(1) as fleet:
+        fleet.upstreams.tools["http://app-1"] = ToolService()
+        await fleet.apply("desk", DOCUMENT)
+        request = CallerRequest(
+            await fleet.give_key("ngo"), "desk", "act", b"{}", program_id="p"
+        )
+        await fleet.call("vm0", request)
+        stream = fleet.nodes["vm0"].committers.streams[partition_of("ngo", "p") % 4]
+        last_position, stream.position, stream.holders = stream.position, 0, {}
+        await fleet.call("vm0", request)
+        assert stream.position == last_position + 1
+        (holder,) = stream.holders.values()
+        assert holder.opened_at == 1
--- a/tests/node/test_graceful_shutdown.py
+++ b/tests/node/test_graceful_shutdown.py
@@ -55,3 +55,36 @@
         assert [(call.tokens, call.ended) for call in engine.seen] == [
             (600, "finished")
         ] * 3
+
+
+async def test_streams_end_when_a_former_committer_takes_over():
+    """
+    Guards against a stream without its end after its committer left the fleet.
+
+    The next committer had been one before the leaving VM joined. It rejected the record
+    of the call, because it did not know that the partition had been opened since.
+    """
+    async with LocalFleet(1, TIMING) as fleet:
+        fleet.upstreams.engines = {"http://e": ModelEngine()}
+        await fleet.apply("desk", DOCUMENT)
+        key = await fleet.give_key("ngo")
+        # Each committer reads its commit stream once a second.
+        await fleet.sleep(2)
+        await fleet.start("vm1")
+        await fleet.wait_until_synced()
+        owners = fleet.any_node().fleet.state.owners
+        joined = fleet.nodes["vm1"].vm_id
+        program = next(
+            f"p{n}"
+            for n in range(100)
+            for partition in [partition_of("ngo", f"p{n}")]
+            if owners.partition(partition) != joined == owners.stream(partition % 4)
+        )
+        body = b'{"messages": [{"role": "user", "content": "hi"}], "max_tokens": 600}'
+        request = CallerRequest(key, "desk", "chat", body, program_id=program)
+        call = asyncio.create_task(fleet.call("vm0", request))
+        await fleet.sleep(1)
+        assert not call.done()
+        await fleet.leave("vm1")
+        _, outcome = await call
+        assert outcome.durable
