--- a/packages/node/src/damasksaddle_node/fleet/vouching.py
+++ b/packages/node/src/damasksaddle_node/fleet/vouching.py
@@ -19,6 +19,12 @@
 
 log = get_logger("fleet")
 
+# Rounds of vouches in the time that a proof of freshness lasts. A round ends before the
+# next one starts, and the first starts in the middle of that time.
+ROUNDS_PER_FRESHNESS = 4
+# Lets the clock pass the time that a round is due; well below the length of a round.
+MIN_WAIT_S = 0.02
+
 
 class Vouching:
     """Handles `Vouch` and `Release`, and requests vouches when they are needed."""
@@ -68,11 +74,17 @@
 
     async def renew_periodically(self) -> None:
         """Requests vouches while the last complete read of the log is too old."""
+        loop = asyncio.get_running_loop()
+        freshness_s = self._timing.freshness_s
         while True:
-            await asyncio.sleep(self._timing.freshness_s / 4)
-            age_s = asyncio.get_running_loop().time() - self._fleet.read_started_s
-            if age_s > self._timing.freshness_s / 2 and not self._lease.revoked:
+            # Two rounds fit into the rest of `freshness_s`, so that one may fail.
+            due_s = self._fleet.read_started_s + freshness_s / 2
+            next_round_s = loop.time() + freshness_s / ROUNDS_PER_FRESHNESS
+            if due_s > loop.time():
+                next_round_s = due_s
+            elif not self._lease.revoked:
                 await self.request_vouches()
+            await asyncio.sleep(max(next_round_s - loop.time(), MIN_WAIT_S))
 
     async def request_vouches(self) -> bool:
         """Requests vouches from all members; returns whether they prove freshness."""
@@ -95,7 +107,7 @@
         message = Vouch(self._peers.vm_id, self._fleet.state.cursor)
         try:
             response = await self._peers.request(
-                vm_id, message, self._timing.freshness_s / 4
+                vm_id, message, self._timing.freshness_s / ROUNDS_PER_FRESHNESS
             )
         except (PeerError, Refusal):
             return None
