Count the sizes of records and rows in bytes

What callers saw: with answers in other than Latin script, the records that wait for the store could take two to four times max_pending_bytes before calls were refused, and batches and rows were two to four times as large as MAX_BATCH_BYTES and MAX_ROW_BYTES.

Cause: pydantic's dump_json writes such text as UTF-8 without escapes, and pending_bytes, the next batch and the next row added up len() of the texts, which counts characters.

Ruled out: the records of model calls, whose bodies are ASCII because json.dumps escapes; a batch above the frame limit, since four times 1 MiB is below 8 MiB.

Result: the size of a pending record is counted once, when it is queued, so that pending_bytes is no slower.

--- a/packages/node/src/damasksaddle_node/commit/committer.py
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -69,7 +69,7 @@
 
     @property
     def size_bytes(self) -> int:
-        return sum(len(record) for record in self.message.records)
+        return sum(len(record.encode()) for record in self.message.records)
 
     def entry(self) -> Entry:
         return Entry(
--- a/packages/node/src/damasksaddle_node/programs/partition.py
+++ b/packages/node/src/damasksaddle_node/programs/partition.py
@@ -29,6 +29,10 @@
     text: str
     done: "asyncio.Future[int]"
     sent: bool = False
+    size_bytes: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.size_bytes = len(self.text.encode())
 
 
 @dataclass(eq=False, slots=True)
@@ -120,7 +124,7 @@
 
     def pending_bytes(self) -> int:
         """Returns the size of the records that are not durable yet."""
-        return sum(len(pending.text) for pending in self.pending_records)
+        return sum(pending.size_bytes for pending in self.pending_records)
 
     def undurable_charge_micros(self) -> int:
         """Returns the charges that are not durable yet."""
@@ -163,7 +167,7 @@
         """Returns the first pending records whose total size fits into a frame."""
         size_bytes = 0
         for index, pending in enumerate(self.pending_records):
-            size_bytes += len(pending.text)
+            size_bytes += pending.size_bytes
             if size_bytes > MAX_BATCH_BYTES and index:
                 return self.pending_records[:index]
         return list(self.pending_records)
--- a/tests/node/commit/test_committer.py
+++ b/tests/node/commit/test_committer.py
@@ -1,8 +1,13 @@
 """Which VM may append to a commit stream."""
 
+import asyncio
+
 from damasksaddle.utils import PARTITIONS, partition_of
+from damasksaddle_node.commit.committer import MAX_ROW_BYTES
 from damasksaddle_node.commit.rows import Holder
 from damasksaddle_node.entry import CallerRequest
+from damasksaddle_node.peers import Sender
+from damasksaddle_protocol import Append
 from damasksaddle_standins import ToolService
 from damasksaddle_standins.fleet import LocalFleet
 
@@ -61,3 +66,26 @@
         _, outcome = await fleet.call("vm0", request)
         assert outcome.http_status == 200
         assert len(tool.seen) == 1
+
+
+async def test_size_of_a_row_is_counted_in_bytes():
+    """Guards against rows above their limit if records are not in Latin script."""
+    async with LocalFleet(1) as fleet:
+        node = fleet.any_node()
+        sender = Sender(node.vm_id, node.fleet.state.epoch)
+
+        async def append(partition, records, opened_at):
+            message = Append(partition, node.vm_id, records, opened_at)
+            return (await node.committers.on_append(message, sender)).position
+
+        partitions = range(0, 20, 4)
+        opened = [await append(number, [], 0) for number in partitions]
+        record = "ж" * (MAX_ROW_BYTES // 4)
+        positions = await asyncio.gather(
+            *(
+                append(number, [record], opened_at)
+                for number, opened_at in zip(partitions, opened, strict=True)
+            )
+        )
+        records_per_row = [positions.count(row) for row in sorted({*positions})]
+        assert records_per_row == [2, 2, 1]
