Keep the bytes of an answer whose outcome is resolved

What callers saw: a call that must run at most once lost its answer, the upstream was asked for the outcome and answered with bytes that are no UTF-8 text (a PDF, an image); a retry with the idempotency key got replacement characters in their place, with status 200 and a charge.

Cause: OutcomeResolver decoded the body with errors="replace", while PlainCall keeps such a body in base64 and marks the record as binary.

Evidence: test_resolved_outcome_has_the_bytes_of_the_service; before, ff fe came back as replacement characters.

Ruled out: the retry itself, since CallOutcome.body_bytes decodes binary records.

Result: both use encode_body.

--- a/packages/node/src/damasksaddle_node/programs/outcome_resolver.py
+++ b/packages/node/src/damasksaddle_node/programs/outcome_resolver.py
@@ -8,7 +8,12 @@
 from damasksaddle.utils import get_logger, new_id, unix_s
 from damasksaddle_node.programs.context import CallDependencies
 from damasksaddle_node.programs.partition import Partition
-from damasksaddle_node.programs.records import CallFinished, Outcome, Trace
+from damasksaddle_node.programs.records import (
+    CallFinished,
+    Outcome,
+    Trace,
+    encode_body,
+)
 from damasksaddle_node.upstreams import PlainResponse
 
 log = get_logger("programs")
@@ -99,6 +104,7 @@
     def _resolve(
         self, partition: Partition, record: CallFinished, answer: PlainResponse
     ) -> None:
+        body, binary = encode_body(answer.body)
         partition.add(
             replace(
                 record,
@@ -106,7 +112,8 @@
                 outcome=Outcome.OK,
                 http_status=answer.status,
                 content_type=answer.content_type,
-                body=answer.body.decode(errors="replace"),
+                body=body,
+                binary=binary,
                 charge_micros=record.reserved_micros,
                 at_unix_s=unix_s(),
                 trace=Trace(reason="the upstream was asked for the outcome"),
--- a/packages/node/src/damasksaddle_node/programs/plain_call.py
+++ b/packages/node/src/damasksaddle_node/programs/plain_call.py
@@ -1,7 +1,6 @@
 """Runs calls on plain services."""
 
 import asyncio
-import base64
 from contextlib import suppress
 
 from damasksaddle.config import RetryPolicy
@@ -19,7 +18,12 @@
 from damasksaddle_node.programs.context import MAX_ATTEMPTS, MS_PER_S, CallContext
 from damasksaddle_node.programs.outcome import call_finished_record, wait_until_durable
 from damasksaddle_node.programs.partition import PendingRecord
-from damasksaddle_node.programs.records import CallFinished, CallIntended, Outcome
+from damasksaddle_node.programs.records import (
+    CallFinished,
+    CallIntended,
+    Outcome,
+    encode_body,
+)
 from damasksaddle_node.upstreams import PlainRequest, PlainResponse
 from damasksaddle_protocol import Finish, Placed
 
@@ -184,10 +188,7 @@
         self, answer: PlainResponse, placed: Placed, reserved_micros: int
     ) -> CallFinished:
         failed = answer.status >= HTTP_SERVER_ERROR
-        try:
-            body, binary = answer.body.decode(), False
-        except UnicodeDecodeError:
-            body, binary = base64.b64encode(answer.body).decode(), True
+        body, binary = encode_body(answer.body)
         return call_finished_record(
             self._context,
             Outcome.FAILED if failed else Outcome.OK,
--- a/packages/node/src/damasksaddle_node/programs/records.py
+++ b/packages/node/src/damasksaddle_node/programs/records.py
@@ -161,6 +161,14 @@
 _ADAPTER: TypeAdapter[ProgramRecord] = TypeAdapter(ProgramRecord)
 
 
+def encode_body(body: bytes) -> tuple[str, bool]:
+    """Returns a body as the text of a record, and whether it is in base64."""
+    try:
+        return body.decode(), False
+    except UnicodeDecodeError:
+        return base64.b64encode(body).decode(), True
+
+
 def dump_program_record(record: ProgramRecord) -> str:
     """Returns a record as JSON."""
     return _ADAPTER.dump_json(record).decode()
--- a/tests/node/programs/test_at_most_once.py
+++ b/tests/node/programs/test_at_most_once.py
@@ -171,3 +171,16 @@
         await session.look_up_call(answer.call_id, answer.program_id)
         await session.call("pay", "second", "p1", idempotency_key="k2")
         assert session.transcript_text() == snapshot
+
+
+async def test_resolved_outcome_has_the_bytes_of_the_service(start_session):
+    """Guards against a binary answer that is corrupted when its outcome is resolved."""
+    async with start_session(outcome='outcome_path: "/calls/{call_id}"') as session:
+        session.tool.lose_answers = 1
+        await session.call("pay", "receipt", "p1", idempotency_key="k")
+        body = b"%PDF-1.7 \xff\xfe\x00"
+        session.tool._answers[session.tool.seen[0][0]] = body
+        await asyncio.sleep(5)
+        answer = await session.call("pay", "receipt", "p1", idempotency_key="k")
+        assert answer.body_bytes() == body
+        assert len(session.tool.seen) == 1
