Measure the first token of a retry at its own engine

What callers saw: after an engine failed in the middle of an answer and another one continued it, the scheduler took the second engine for one whose first token comes at once and whose tokens take longer than they do, and placed calls by these estimates; the operators' dump showed first_token_ms 0.

Cause: the time of the first token belongs to the whole output, so that of the first engine lies before the second one's start, and max(0, ...) made it 0. Prefill was then counted as output, also in the check for slow engines.

Ruled out: the call's own trace, which is still the time to the caller's first token; the report of the engine that failed, which the scheduler doesn't use.

Result: the time is reset when an engine gets the call.

--- a/packages/node/src/damasksaddle_node/programs/context.py
+++ b/packages/node/src/damasksaddle_node/programs/context.py
@@ -47,7 +47,8 @@
     """
     The output that engines have generated for a call so far.
 
-    `engines` lists the engines that may hold KV cache memory for the call.
+    `first_token_s` is when the present engine generated its first token. `engines`
+    lists the engines that may hold KV cache memory for the call.
     """
 
     text: str = ""
--- a/packages/node/src/damasksaddle_node/programs/model_call.py
+++ b/packages/node/src/damasksaddle_node/programs/model_call.py
@@ -166,6 +166,7 @@
         )
         output = self._context.output
         tokens_before = output.tokens
+        output.first_token_s = None
         try:
             self._context.check_ownership()
             # From here on the engine may have received the call.
@@ -188,7 +189,7 @@
             finish.cached_tokens = output.cached_tokens
             finish.prompt_tokens = output.prompt_tokens
             first_token_s = output.first_token_s or self._context.now_s()
-            finish.first_token_ms = max(0, int((first_token_s - started_s) * MS_PER_S))
+            finish.first_token_ms = int((first_token_s - started_s) * MS_PER_S)
             finish.total_ms = int((self._context.now_s() - started_s) * MS_PER_S)
             finish.program_ended = self._context.call.end_program
             self._context.dependencies.pools.finish(finish)
@@ -232,6 +233,7 @@
         output = self._context.output
         if output.first_token_s is None:
             output.first_token_s = self._context.now_s()
+        if not output.tokens:
             self._context.update_trace(first_token_ms=self._context.elapsed_ms())
             measure(Timing.FIRST_TOKEN, self._context.elapsed_ms())
         output.text += text
