Name the refusal that an append's sender retries

Callers see nothing new. A committer that no longer is one refuses an append with NotOwner, and the sender tells this from a lost partition by the text of the detail, written out in three places. One edited text would have made each change of a committer look like the loss of a partition.

Evidence: a new test sends an append to a former committer over a peer connection, and the append is retried and written. It passes without the change, since the detail crosses a connection unaltered; with another text in on_append it fails with NotOwner.

Ruled out: a code of its own for this refusal. Builds run together: a sender of this build would take the old build's NotOwner for a lost partition, and an old build's takeover doesn't handle the unknown code when it opens a partition. This follows from the code, no run of two builds was made.

Result: the text is one constant; the wire is the same.

--- a/packages/node/src/damasksaddle_node/commit/client.py
+++ b/packages/node/src/damasksaddle_node/commit/client.py
@@ -12,7 +12,7 @@
 )
 from damasksaddle.platform import RowSequence, Table
 from damasksaddle.utils import get_logger
-from damasksaddle_node.commit.committer import CHECKPOINT_INTERVAL_ROWS
+from damasksaddle_node.commit.committer import CHECKPOINT_INTERVAL_ROWS, NOT_COMMITTER
 from damasksaddle_node.commit.rows import Entry, EntryKind, load_row
 from damasksaddle_node.fleet.log import FleetLog
 from damasksaddle_node.peers import PeerPool
@@ -84,7 +84,7 @@
                 self.store_is_down = False
                 return position
             except NotOwner as error:
-                if error.detail != "not the committer":
+                if error.detail != NOT_COMMITTER:
                     raise
             except (PeerError, Refusal) as error:
                 # Only `NotOwner` means that the records cannot become durable.
--- a/packages/node/src/damasksaddle_node/commit/committer.py
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -43,6 +43,8 @@
 # reads at most n rows.
 CHECKPOINT_INTERVAL_ROWS = 256
 MAX_ROW_BYTES = 1024 * 1024
+# The detail of a refusal that a client retries; VMs of other builds compare it.
+NOT_COMMITTER = "not the committer"
 # The holder of a closed partition.
 NO_HOLDER = ""
 MAINTENANCE_PERIOD_S = 1.0
@@ -164,7 +166,7 @@
     async def _commit_queue(self) -> None:
         if not self.is_owned():
             self.position = None
-            self._fail_all(self._pop_all(), NotOwner("not the committer"))
+            self._fail_all(self._pop_all(), NotOwner(NOT_COMMITTER))
             return
         if self.position is None and not await self._load_state():
             self._fail_all(self._pop_all(), StoreUnavailable(retry_after_s=1.0))
@@ -332,7 +334,7 @@
         await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
         stream = self.streams[message.partition % len(self.streams)]
         if not stream.is_owned():
-            raise NotOwner("not the committer")
+            raise NotOwner(NOT_COMMITTER)
         append = _PendingAppend(message, sender)
         stream.enqueue(append)
         return Appended(stream.number, await append.done)
--- a/tests/node/commit/test_committer.py
+++ b/tests/node/commit/test_committer.py
@@ -1,12 +1,15 @@
 """Which VM may append to a commit stream."""
 
 import asyncio
+from types import SimpleNamespace
 
 from damasksaddle.utils import PARTITIONS, partition_of
+from damasksaddle_node.commit import CommitClient
 from damasksaddle_node.commit.committer import MAX_ROW_BYTES
 from damasksaddle_node.commit.rows import Holder
 from damasksaddle_node.entry import CallerRequest
 from damasksaddle_node.peers import Sender
+from damasksaddle_node.settings import Timing
 from damasksaddle_protocol import Append
 from damasksaddle_standins import ToolService
 from damasksaddle_standins.fleet import LocalFleet
@@ -89,3 +92,26 @@
         )
         records_per_row = [positions.count(row) for row in sorted({*positions})]
         assert records_per_row == [2, 2, 1]
+
+
+async def test_append_to_a_former_committer_is_retried():
+    """Guards against a partition that is given up because its committer changed."""
+    async with LocalFleet(3) as fleet:
+        node = fleet.any_node()
+        owners = node.fleet.state.owners
+        number = next(
+            n for n in range(0, PARTITIONS, 4) if owners.partition(n) == node.vm_id
+        )
+        committer = owners.stream(0)
+        former = next(
+            other.vm_id
+            for other in fleet.nodes.values()
+            if other.vm_id not in (node.vm_id, committer)
+        )
+        committers = iter([committer, former, committer])
+        stale_owners = SimpleNamespace(stream=lambda _: next(committers))
+        stale_fleet = SimpleNamespace(state=SimpleNamespace(owners=stale_owners))
+        client = CommitClient(fleet.table, stale_fleet, node.peers, 4, Timing())
+        opened_at = await client.append(number, [], 0)
+        assert await client.append_with_retry(number, ["record"], opened_at) > opened_at
+        assert next(committers, None) is None
