--- a/packages/node/src/damasksaddle_node/commit/committer.py
+++ b/packages/node/src/damasksaddle_node/commit/committer.py
@@ -45,6 +45,8 @@
 # reads at most n rows.
 CHECKPOINT_INTERVAL_ROWS = 256
 MAX_ROW_BYTES = 1024 * 1024
+# The detail of a refusal that a client retries; VMs of other builds compare it.
+NOT_COMMITTER = "not the committer"
 # The holder of a closed partition.
 NO_HOLDER = ""
 MAINTENANCE_PERIOD_S = 1.0
@@ -71,7 +73,7 @@
 
     @property
     def size_bytes(self) -> int:
-        return sum(len(record) for record in self.message.records)
+        return sum(len(record.encode()) for record in self.message.records)
 
     def entry(self) -> Entry:
         return Entry(
@@ -175,7 +177,7 @@
 
     async def _commit_queue(self) -> None:
         if not self.is_owned():
-            self._fail_all(self._pop_all(), NotOwner("not the committer"))
+            self._fail_all(self._pop_all(), NotOwner(NOT_COMMITTER))
             return
         if self._outdated:
             self._outdated, self.position = False, None
@@ -371,7 +373,7 @@
         await self._fleet.wait_for(sender.epoch, self._timing.peer_timeout_s)
         stream = self.streams[message.partition % len(self.streams)]
         if not stream.is_owned():
-            raise NotOwner("not the committer")
+            raise NotOwner(NOT_COMMITTER)
         append = _PendingAppend(message, sender)
         stream.enqueue(append)
         return Appended(stream.number, await append.done)
