--- a/packages/gateway/src/damasksaddle_gateway/gateway.py
+++ b/packages/gateway/src/damasksaddle_gateway/gateway.py
@@ -10,6 +10,7 @@
 
 from damasksaddle.platform import VersionedTable
 from damasksaddle.utils import boottime_s, get_logger
+from damasksaddle.utils.connections import BoundedServer
 from damasksaddle.utils.metrics_server import metrics_response
 from damasksaddle_gateway.announcements import Announcements
 from damasksaddle_gateway.budgets import TABLE as BUDGETS_TABLE
@@ -53,6 +54,8 @@
 # Time after which a connection that did not close is cut.
 CUT_TIMEOUT_S = 0.1
 MAX_HEADER_BYTES = 65536
+# Time for the head of a request. Callers reuse connections for less time than this.
+CALLER_KEEPALIVE_S = 60.0
 
 
 class Directory:
@@ -85,6 +88,19 @@
         return web.json_response(body)
 
 
+def create_server(handler: Handler) -> web.Server:
+    """Returns a server that cancels the handler of a caller that disconnects."""
+    return BoundedServer(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        max_line_size=MAX_HEADER_BYTES,
+        max_field_size=MAX_HEADER_BYTES,
+        keepalive_timeout=CALLER_KEEPALIVE_S,
+        auto_decompress=False,
+    )
+
+
 def _close_idle_connections(server: web.Server) -> None:
     """
     Closes the connections that wait for their next request.
@@ -93,8 +109,17 @@
     also the rest of a request body.
     """
     for connection in server.connections:
-        if connection._waiter is not None and not connection._waiter.done():
-            connection.force_close()
+        if _is_idle(connection):
+            # A request may have arrived that the loop has not read yet.
+            read = getattr(connection.transport, "_read_ready", None)
+            if read is not None:
+                read()
+            if _is_idle(connection):
+                connection.force_close()
+
+
+def _is_idle(connection: web.RequestHandler) -> bool:
+    return connection._waiter is not None and not connection._waiter.done()
 
 
 def _stop_accepting(sites: list[web.BaseSite]) -> None:
@@ -183,9 +208,11 @@
         self.directory = Directory(
             self.request_handler, self.membership, codec, self._address_ttl_s
         )
-        self.config_watcher.on_applied = self._check_grace_period
+        self.config_watcher.on_applied = self._on_configuration
         self._runners: list[web.ServerRunner] = []
-        self._stop_deadline_s = -math.inf
+        # While it stops: since when, and until when requests are served.
+        self._stop_started_s: float | None = None
+        self._stop_deadline_s = math.inf
 
     def _longest_request_s(self) -> float:
         config = self.config_watcher.config
@@ -194,6 +221,27 @@
     def _address_ttl_s(self) -> float:
         return address_ttl_s(self.settings, self._longest_request_s())
 
+    def _on_configuration(self) -> None:
+        self._check_grace_period()
+        if self._stop_started_s is not None:
+            self._limit_stop(self._stop_started_s)
+
+    def _limit_stop(self, started_s: float) -> None:
+        """
+        Fits a stop to the settings and the configuration.
+
+        What is changed during a stop can only shorten it: callers have been told to
+        leave, and the process may be killed at the end of the first grace period.
+        """
+        deadline_s = started_s + serving_s(self.settings)
+        self._stop_deadline_s = min(self._stop_deadline_s, deadline_s)
+        address_life_s = LEAVE_PROPAGATION_S + (
+            self._address_ttl_s() * ADDRESS_RETENTION_FACTOR
+        )
+        self.request_handler.start_draining(
+            started_s + address_life_s, self._stop_deadline_s
+        )
+
     def _check_grace_period(self) -> None:
         """Logs settings with which a planned stop may have to refuse requests."""
         longest_request_s = self._longest_request_s()
@@ -235,14 +283,7 @@
         return await self.directory.resolve(request)
 
     async def _listen(self, handler: Handler, address: Address) -> None:
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            keepalive_timeout=60.0,
-        )
+        server = create_server(handler)
         runner = web.ServerRunner(server, shutdown_timeout=CUT_TIMEOUT_S)
         await runner.setup()
         await web.TCPSite(
@@ -269,7 +310,7 @@
         self.config_watcher.drain_ms = settings.drain_ms
         self.request_handler.key_revocation_ms = settings.key_revocation_ms
         self.budgets.settle_s = settings.settle_ms / 1000
-        self._check_grace_period()
+        self._on_configuration()
 
     async def drain(self) -> None:
         """
@@ -283,17 +324,13 @@
         log.info(
             "Leaving.", vm=settings.vm, running=self.request_handler.active_requests
         )
-        deadline_s = started_s + serving_s(settings)
-        self._stop_deadline_s = deadline_s
-        address_life_s = LEAVE_PROPAGATION_S + (
-            self._address_ttl_s() * ADDRESS_RETENTION_FACTOR
-        )
-        self.request_handler.start_draining(started_s + address_life_s, deadline_s)
+        self._stop_started_s = started_s
+        self._limit_stop(started_s)
         await self.membership.leave()
         addresses_expire_s = (
             started_s + settings.address_ttl_s * ADDRESS_RETENTION_FACTOR
         )
-        while boottime_s() < deadline_s:
+        while boottime_s() < self._stop_deadline_s:
             if (
                 boottime_s() >= addresses_expire_s
                 and not self.request_handler.active_requests
@@ -304,7 +341,7 @@
             "Closing the listeners.",
             vm=settings.vm,
             running=self.request_handler.active_requests,
-            left_ms=round((deadline_s - boottime_s()) * 1000),
+            left_ms=round((self._stop_deadline_s - boottime_s()) * 1000),
         )
 
     async def _finish_requests(self) -> None:
@@ -342,9 +379,12 @@
 
     async def on_stop(self) -> None:
         await self._finish_requests()
-        self.request_handler.record_cut(self._unfinished_connections())
+        self.request_handler.mark_cut(self._unfinished_connections())
         for runner in self._runners:
             await runner.cleanup()
+        if self.request_handler.active_requests:
+            # Lets the handlers that were cancelled end, and log that they were cut.
+            await asyncio.sleep(STOP_POLL_S)
         await self.upstreams.stop()
         log.info(
             "Stopped.",
--- a/packages/gateway/src/damasksaddle_gateway/request_handler.py
+++ b/packages/gateway/src/damasksaddle_gateway/request_handler.py
@@ -9,8 +9,6 @@
 import asyncio
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import StrEnum
 from weakref import WeakKeyDictionary
 
 from aiohttp import hdrs, web
@@ -29,7 +27,6 @@
     SizeLimitExceeded,
     Stopping,
     StoreUnavailable,
-    StreamVersionUnknown,
     UpstreamUnavailable,
 )
 from damasksaddle.utils import (
@@ -41,13 +38,23 @@
     measure,
     read_limited,
 )
+from damasksaddle.utils.connections import close_after
 from damasksaddle_gateway.calls import Call, request_fingerprints
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.coordinators import STORE_RETRY_S
+from damasksaddle_gateway.eligibility import (
+    Busy,
+    Eligibility,
+    Eligible,
+    Excluded,
+    Survey,
+    available_upstreams,
+)
 from damasksaddle_gateway.events import EventSplitter
 from damasksaddle_gateway.interfaces import HeaderCodec, RequestMetadata
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.placement import Placement
+from damasksaddle_gateway.progress import Progress
 from damasksaddle_gateway.quarantine import Quarantine
 from damasksaddle_gateway.rate_limiter import RateLimiter
 from damasksaddle_gateway.relay import ResponseRelay
@@ -124,6 +131,14 @@
         raise BodyTimeout from error
 
 
+async def _continue_body(request: web.BaseRequest) -> None:
+    """Answers a caller that waits for permission to send its body."""
+    if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        # The head of the response does not depend on what was written before.
+        request.writer.output_size = 0
+
+
 def _find_route(request: web.BaseRequest, config: RoutingConfig) -> Route | None:
     path = request.raw_path.partition("?")[0]
     return config.find_route(request.headers.get(hdrs.HOST, ""), path)
@@ -168,59 +183,6 @@
         raise HeadersTooLarge
 
 
-class Phase(StrEnum):
-    """How far a request has come."""
-
-    ADMISSION = "admission"
-    QUEUED = "queued"
-    UPSTREAM = "upstream"
-    RESPONSE = "response"
-
-
-@dataclass(slots=True, eq=False)
-class _Progress:
-    """
-    The progress of the last request on a connection.
-
-    `call` is set once the request has a route, until its response is ready. `was_cut`
-    is set if the end of the process cancels the request.
-    """
-
-    request_id: str
-    started_s: float
-    call: Call | None = None
-    has_response: bool = False
-    was_cut: bool = False
-
-    @property
-    def phase(self) -> Phase:
-        if self.has_response:
-            return Phase.RESPONSE
-        if self.call is None:
-            return Phase.ADMISSION
-        if self.call.response is not None:
-            return Phase.RESPONSE
-        return Phase.UPSTREAM if self.call.may_have_run else Phase.QUEUED
-
-    def log_fields(self) -> dict[str, object]:
-        """Returns what explains why the caller has no whole response yet."""
-        call = self.call
-        return {
-            "request": self.request_id,
-            "phase": self.phase,
-            "workspace": call.workspace.name if call and call.workspace else "",
-            "route": call.route.name if call else "",
-            "tried": ",".join(call.tried_upstreams) if call else "",
-            "after_ms": round((boottime_s() - self.started_s) * 1000),
-            "left_ms": round(call.time_left_s() * 1000) if call else None,
-        }
-
-    def finish(self) -> None:
-        """Releases what only a request without a response needs."""
-        self.call = None
-        self.has_response = True
-
-
 class RequestHandler:
     """Serves the requests of callers."""
 
@@ -249,6 +211,9 @@
         self._stream_versions = stream_versions
         self._codec = codec
         self._relay = ResponseRelay(codec, stream_versions)
+        self._eligibility = Eligibility(
+            config_watcher, placement, membership, quarantine
+        )
         self._known_upstreams: dict[str, Upstream] = {}
         # How long a withdrawn key may remain accepted.
         self.key_revocation_ms = key_revocation_ms
@@ -258,7 +223,7 @@
         self._addresses_expire_s = self._stop_deadline_s = math.inf
         self.active_requests = 0
         # By connection, for requests of connections that are open.
-        self._progress: WeakKeyDictionary[asyncio.BaseTransport, _Progress] = (
+        self._progress: WeakKeyDictionary[asyncio.BaseTransport, Progress] = (
             WeakKeyDictionary()
         )
 
@@ -266,11 +231,12 @@
         """
         Tells callers to leave; the process serves until `stop_deadline_s`.
 
-        After `addresses_expire_s`, requests that might take longer are refused.
+        After `addresses_expire_s`, requests that might take longer are refused. If
+        called again, the earlier times hold.
         """
         self.draining = True
-        self._addresses_expire_s = addresses_expire_s
-        self._stop_deadline_s = stop_deadline_s
+        self._addresses_expire_s = min(self._addresses_expire_s, addresses_expire_s)
+        self._stop_deadline_s = min(self._stop_deadline_s, stop_deadline_s)
 
     def _check_stop(self, started_s: float, deadline_s: float) -> None:
         """Raises `Stopping` for a late request that may run when the process ends."""
@@ -294,7 +260,7 @@
         """Serves one request of a caller."""
         started_s = boottime_s()
         metadata = self._codec.decode_request(request.headers)
-        progress = _Progress(metadata.request_id, started_s)
+        progress = Progress(metadata.request_id, started_s)
         if request.transport is not None:
             self._progress[request.transport] = progress
         self.active_requests += 1
@@ -302,14 +268,19 @@
             call = await self._admit(request, metadata, progress)
             count(Counter.REQUESTS)
             response = await self._serve(request, call)
-            if self.draining:
-                response.force_close()
+            if self.draining and not response.prepared:
+                close_after(request, response)
             measure(Timing.RESPONSE, (boottime_s() - started_s) * 1000)
             return response
         except Refusal as error:
-            return self._refuse(metadata, error, started_s)
+            response = self._refuse(metadata, error, started_s)
+            if self.draining:
+                close_after(request, response)
+            return response
         except asyncio.CancelledError:
-            if not progress.was_cut:
+            if progress.is_cut:
+                progress.log_cut()
+            else:
                 count(Counter.CALLER_DISCONNECTS)
                 log.info("The caller disconnected.", **progress.log_fields())
             raise
@@ -317,15 +288,16 @@
             progress.finish()
             self.active_requests -= 1
 
-    def record_cut(self, connections: Iterable[asyncio.BaseTransport]) -> None:
-        """Logs requests whose connections the end of the process cuts."""
+    def mark_cut(self, connections: Iterable[asyncio.BaseTransport]) -> None:
+        """Has requests logged if the end of the process cuts their connections."""
         for connection in connections:
             progress = self._progress.get(connection)
-            if progress is not None:
-                progress.was_cut = True
-                fields = progress.log_fields()
-                count(Counter.REQUESTS_CUT, progress.phase)
-                log.warning("The end of the process cut a request.", **fields)
+            if progress is None:
+                continue
+            progress.is_cut = True
+            if progress.has_response:
+                # Nothing tells whether the rest of the response is still written.
+                progress.log_cut()
 
     def _refuse(
         self, metadata: RequestMetadata, error: Refusal, started_s: float
@@ -353,12 +325,10 @@
         response = web.Response(status=error.status, text=error.code)
         if error.retry_after_s is not None:
             response.headers[hdrs.RETRY_AFTER] = f"{error.retry_after_s:.3f}"
-        if self.draining:
-            response.force_close()
         return response
 
     async def _admit(
-        self, request: web.BaseRequest, metadata: RequestMetadata, progress: _Progress
+        self, request: web.BaseRequest, metadata: RequestMetadata, progress: Progress
     ) -> Call:
         started_s = progress.started_s
         limits = self._limits()
@@ -371,6 +341,7 @@
             # The body of a request that is refused for the stop need not arrive.
             self._check_stop(started_s, _deadline_s(started_s, route, metadata))
             body_time_ms = min(body_time_ms, route.timeout_ms)
+        await _continue_body(request)
         body = await read_body(request, limits.max_body_bytes, body_time_ms / 1000)
         config = self._current_config()
         check_header_size(request, config.limits.max_header_bytes)
@@ -403,7 +374,7 @@
             events=EventSplitter(metadata.last_event_id),
             draining=self.draining,
         )
-        progress.call = call
+        progress.admit(call)
         self._check_stop(started_s, call.deadline_s)
         if _exceeds_engine_memory(call):
             raise UpstreamUnavailable("the request exceeds an engine's memory")
@@ -537,69 +508,46 @@
                 self._known_upstreams = self._config_watcher.upstreams
                 self._placement.retain(list(self._known_upstreams.values()))
             version = await self._version(call)
-            self._check_upstreams_age(call)
-            candidates = [
-                upstream
-                for upstream in self._untried_upstreams(call)
-                if version is None or upstream.software_version == version
-            ]
+            survey = self._eligibility.survey(call, version)
+            candidates = survey.candidates()
             if not candidates and await self._reassign(call, version):
                 continue
-            vms = len(self._membership.live_vms())
-            free = [
-                candidate
-                for candidate in candidates
-                if self._placement.has_capacity(candidate, call.service, vms)
-            ]
-            upstream = self._placement.choose(free, call.service, call.metadata)
-            if upstream is not None:
-                permitted = await self._take_permit(call, upstream, 0.0)
-                if permitted and self._is_available(call, upstream):
-                    break
-                continue
-            if call.rejections >= MAX_REJECTIONS:
-                raise self._no_upstream_refusal(call)
-            upstream = self._placement.first_permit(candidates, call.service, vms)
-            if upstream is not None:
+            max_wait_s = 0.0
+            upstream = self._placement.choose(
+                survey.eligible(), call.service, call.metadata
+            )
+            if upstream is None:
+                if call.rejections >= MAX_REJECTIONS:
+                    raise self._no_upstream_refusal(call, survey)
+                upstream = survey.first_permit()
                 max_wait_s = deadline_s - boottime_s()
-                if not await self._take_permit(call, upstream, max_wait_s):
-                    raise self._no_upstream_refusal(call)
-                if self._is_available(call, upstream):
-                    break
+            if upstream is not None:
+                if await self._take_permit(call, upstream, max_wait_s):
+                    version = self._known_version(call, version)
+                    # Room that others took during the wait does not void a permit.
+                    match self._eligibility.verdict(call, version, upstream):
+                        case Eligible() | Busy():
+                            break
+                        case Excluded():
+                            continue
+                if max_wait_s:
+                    raise self._no_upstream_refusal(call, survey)
                 continue
+            vms = len(self._membership.live_vms())
             if not candidates or not await self._placement.wait_for_capacity(
                 candidates, call.service, vms, deadline_s
             ):
-                raise self._no_upstream_refusal(call)
+                raise self._no_upstream_refusal(call, survey)
         if call.time_left_s() <= 0:
             # This VM may have been suspended; its timers do not count that time.
             raise self._timeout_refusal(call)
-        # The request may have been quarantined, or its key withdrawn, while it waited.
-        self._quarantine.check(call.fingerprints)
+        # The request's key may have been withdrawn while it waited.
         if call.workspace is not None:
             self._current_config()
         call.tried_upstreams.append(upstream.id)
         measure(Timing.PLACEMENT_WAIT, (boottime_s() - started_s) * 1000)
         return upstream
 
-    def _untried_upstreams(self, call: Call) -> list[Upstream]:
-        return [
-            upstream
-            for upstream in self._config_watcher.available_upstreams(call.service.name)
-            if upstream.id not in call.tried_upstreams
-        ]
-
-    def _check_upstreams_age(self, call: Call) -> None:
-        """
-        Raises if a stream would continue on an outdated list of upstreams.
-
-        An upstream may have started again under its id with another version, and does
-        not check which version began a stream.
-        """
-        age_s = self._config_watcher.upstreams_age_s()
-        if call.version is not None and age_s > self._config_watcher.drain_ms / 1000:
-            raise StreamVersionUnknown(f"the list of upstreams is {age_s:.1f} s old")
-
     async def _version(self, call: Call) -> str | None:
         """Returns the upstream version that a call needs, or None if any will do."""
         if call.version is not None or not is_resumable(call.route.kind):
@@ -608,6 +556,13 @@
             call.service.name, call.version_key
         )
 
+    def _known_version(self, call: Call, version: str | None) -> str | None:
+        """Returns the version that a call needs after a wait, when it was `version`."""
+        if version is None or call.version is not None:
+            return version
+        splits = self._stream_versions.splits
+        return splits.known_version(call.service.name, call.version_key) or version
+
     async def _reassign(self, call: Call, version: str | None) -> bool:
         """
         Moves a stream that has not begun to another version if its own has no upstream.
@@ -616,12 +571,12 @@
         """
         if version is None or call.version is not None:
             return False
-        others = self._placement.healthy(self._untried_upstreams(call))
+        others = self._eligibility.survey(call, None).candidates(healthy=True)
         upstream = self._placement.choose(others, call.service, call.metadata)
         if upstream is None:
             return False
         splits, service = self._stream_versions.splits, call.service.name
-        available = self._config_watcher.available_upstreams(service)
+        available = available_upstreams(self._config_watcher, service)
         if any(listed.software_version == version for listed in available):
             await splits.move_shard(
                 service, call.version_key, upstream.software_version
@@ -642,18 +597,17 @@
                 call.permit_retry_s = retry_after_s
                 return False
 
-    def _is_available(self, call: Call, upstream: Upstream) -> bool:
-        """Tells whether an upstream is still there after the wait for a permit."""
-        available = self._config_watcher.available_upstreams(call.service.name)
-        return upstream in available
-
-    @staticmethod
-    def _no_upstream_refusal(call: Call) -> Refusal:
+    def _no_upstream_refusal(self, call: Call, survey: Survey) -> Refusal:
         if call.may_have_run:
             return OutcomeUnknown()
+        retry_after_s = max(NO_UPSTREAM_RETRY_S, call.permit_retry_s)
+        if survey.all_leave():
+            # Only the list can name another upstream.
+            retry_after_s = self._config_watcher.upstream_poll_s()
         return UpstreamUnavailable(
-            f"tried {len(call.tried_upstreams)}, {call.rejections} rejections as full",
-            retry_after_s=max(NO_UPSTREAM_RETRY_S, call.permit_retry_s),
+            f"tried {len(call.tried_upstreams)}, {call.rejections} rejections as full, "
+            f"{survey}",
+            retry_after_s=retry_after_s,
         )
 
     def _check_retry_allowed(self, call: Call) -> None:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from damasksaddle.platform import Put
-from damasksaddle_gateway.gateway import Gateway
+from damasksaddle_gateway.gateway import Gateway, _close_idle_connections
 from damasksaddle_gateway.grace import ADDRESS_RETENTION_FACTOR
 from damasksaddle_gateway.settings import Address
 from damasksaddle_platform.headers import PlatformHeaderCodec
@@ -27,17 +27,18 @@
 # Longer than the time after which a stop used to cut connections.
 WORK_S = 1.0
 TIMEOUT_MS = 3000
+# More than the socket buffers of the caller hold.
+LARGE_BYTES = 2_000_000
+ROUTE = {
+    "Host": "desk.example",
+    "Prefix": "/file/",
+    "Type": "non_idempotent",
+    "TimeoutMs": TIMEOUT_MS,
+    "Service": "app",
+}
 CONFIG = {
     "Version": 1,
-    "Routes": [
-        {
-            "Host": "desk.example",
-            "Prefix": "/file/",
-            "Type": "non_idempotent",
-            "TimeoutMs": TIMEOUT_MS,
-            "Service": "app",
-        }
-    ],
+    "Routes": [ROUTE],
     "Services": [{"Name": "app"}],
     "Tenants": [{"Name": "ngo", "ApiKeys": [KEY]}],
 }
@@ -45,7 +46,8 @@
 
 async def _respond(request: web.BaseRequest) -> web.StreamResponse:
     await asyncio.sleep(float(request.headers["X-Work-S"]))
-    return web.Response(body=b"filed", headers={"X-Server-Signature": "s1"})
+    body = b"filed".ljust(int(request.headers.get("X-Size", 0)))
+    return web.Response(body=body, headers={"X-Server-Signature": "s1"})
 
 
 async def _file_report(
@@ -170,6 +172,70 @@
         await gateway.stop()
 
 
+async def test_a_timeout_that_a_stop_cannot_fit_is_refused_when_it_is_configured(
+    rows: VersionedRows, table: MemoryVersionedTable, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against cutting requests that a new configuration makes longer."""
+    monkeypatch.setitem(CONFIG, "Routes", [{**ROUTE, "TimeoutMs": 1000}])
+    async with running_gateway(rows, table, address_ttl_s=1.5, grace_s=8.0) as gateway:
+        reader, writer = await asyncio.open_connection(
+            *gateway._runners[0].addresses[0][:2]
+        )
+        stop = asyncio.create_task(_stop(gateway))
+        await asyncio.sleep(1.0)
+        changed = {**CONFIG, "Version": 2, "Routes": [{**ROUTE, "TimeoutMs": 4000}]}
+        rows.apply([Put("op//config", json.dumps(changed))])
+        await asyncio.sleep(3.4)
+        writer.write(_head(2, 3.5, deadline_ms=4000) + b"{}")
+        assert b" 503 " in await reader.read()
+        writer.close()
+        await stop
+
+
+async def test_a_request_sent_behind_another_is_answered_in_a_stop(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against dropping a request that was read before the last response."""
+    async with running_gateway(rows, table, grace_s=8.0) as gateway:
+        reader, writer = await asyncio.open_connection(
+            *gateway._runners[0].addresses[0][:2]
+        )
+        writer.write(_head(2, 1.0) + b"{}" + _head(2, 0.1) + b"{}")
+        while not gateway.request_handler.active_requests:
+            await asyncio.sleep(0.01)
+        stop = asyncio.create_task(_stop(gateway))
+        assert (await reader.read()).count(b"filed") == 2
+        writer.close()
+        await stop
+
+
+async def test_a_response_is_whole_when_a_request_arrives_behind_it(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against a reset that discards the part of a response still in transit."""
+    async with running_gateway(rows, table, address_ttl_s=0.1, grace_s=6.0) as gateway:
+        await gateway.drain()
+        loop = asyncio.get_running_loop()
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            client.setblocking(False)
+            address = gateway._runners[0].addresses[0][:2]
+            await loop.sock_connect(client, address)
+            await loop.sock_sendall(
+                client, _head(2, 0.0, response_bytes=LARGE_BYTES) + b"{}"
+            )
+            received = 0
+            while data := await loop.sock_recv(client, 30_000):
+                received += len(data)
+                if received == len(data):
+                    # The server has written all of it to its socket by then.
+                    await asyncio.sleep(0.3)
+                    await loop.sock_sendall(client, _head(2, 0.0) + b"{}")
+                    await asyncio.sleep(0.1)
+            assert received > LARGE_BYTES
+        await gateway.stop()
+
+
 async def test_a_grace_period_that_is_too_short_is_reported(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
@@ -184,21 +250,40 @@
             await gateway.stop()
 
 
+async def test_a_request_that_ends_as_a_stop_waits_is_not_logged_as_cut(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against a log that names answered requests as lost."""
+    with logbook.TestHandler() as records:
+        async with (
+            running_gateway(rows, table, grace_s=2.0) as gateway,
+            aiohttp.ClientSession() as session,
+        ):
+            call = _file_report(session, _url(gateway), work_s=1.54)
+            running = asyncio.create_task(call)
+            while not gateway.request_handler.active_requests:
+                await asyncio.sleep(0.01)
+            await _stop(gateway)
+            assert await running == (200, b"filed")
+    assert not any("cut" in record.message for record in records.records)
+
+
 async def test_a_request_that_a_stop_cuts_is_logged(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
     """Guards against a lost request that left no line with its id, age and progress."""
-    async with (
-        running_gateway(rows, table, grace_s=1.6) as gateway,
-        aiohttp.ClientSession() as session,
-    ):
-        running = asyncio.create_task(_file_report(session, _url(gateway), work_s=2.9))
-        while not gateway.request_handler.active_requests:
-            await asyncio.sleep(0.01)
-        with logbook.TestHandler() as records:
+    with logbook.TestHandler() as records:
+        async with (
+            running_gateway(rows, table, grace_s=1.6) as gateway,
+            aiohttp.ClientSession() as session,
+        ):
+            call = _file_report(session, _url(gateway), work_s=2.9)
+            running = asyncio.create_task(call)
+            while not gateway.request_handler.active_requests:
+                await asyncio.sleep(0.01)
             await _stop(gateway)
-        with pytest.raises(aiohttp.ServerDisconnectedError):
-            await running
+            with pytest.raises(aiohttp.ServerDisconnectedError):
+                await running
     cut = [record for record in records.records if "cut" in record.message]
     assert [record.extra["fields"]["request"] for record in cut] == ["r1"]
     fields = cut[0].extra["fields"]
@@ -207,13 +292,19 @@
     assert not any("disconnected" in record.message for record in records.records)
 
 
-def _head(length: int, work_s: float) -> bytes:
+def _head(
+    length: int,
+    work_s: float,
+    deadline_ms: int = TIMEOUT_MS,
+    response_bytes: int = 0,
+) -> bytes:
     headers = {
         "Host": "desk.example",
         "Authorization": f"Token {KEY}",
         "X-Request-Id": "r2",
-        "X-Deadline-Ms": str(TIMEOUT_MS),
+        "X-Deadline-Ms": str(deadline_ms),
         "X-Work-S": str(work_s),
+        "X-Size": str(response_bytes),
         "Content-Length": str(length),
     }
     lines = [f"{name}: {value}" for name, value in headers.items()]
@@ -243,6 +334,25 @@
         busy_writer.close()
 
 
+async def test_a_request_that_arrived_before_its_connection_closes_is_answered(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against closing a connection whose request waits to be read."""
+    async with running_gateway(rows, table, address_ttl_s=0.1, grace_s=6.0) as gateway:
+        server = gateway._runners[0].server
+        assert server is not None
+        reader, writer = await asyncio.open_connection(
+            *gateway._runners[0].addresses[0][:2]
+        )
+        while not any(connection._waiter for connection in server.connections):
+            await asyncio.sleep(0.01)
+        writer.write(_head(2, 0.0) + b"{}")
+        _close_idle_connections(server)
+        assert b"filed" in await reader.readuntil(b"filed")
+        writer.close()
+        await gateway.stop()
+
+
 async def test_a_body_that_arrives_during_a_stop_is_read(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -1,6 +1,7 @@
 """Requests through a gateway over real sockets."""
 
 import asyncio
+import gzip
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -16,7 +17,7 @@
 from damasksaddle_gateway.budgets import Budgets
 from damasksaddle_gateway.config_watcher import ConfigWatcher
 from damasksaddle_gateway.coordinators import Coordinators
-from damasksaddle_gateway.gateway import MAX_HEADER_BYTES
+from damasksaddle_gateway.gateway import create_server
 from damasksaddle_gateway.membership import Membership
 from damasksaddle_gateway.peers import Peers
 from damasksaddle_gateway.placement import Placement
@@ -113,14 +114,7 @@
 
 
 async def start_server(handler: RequestCallback) -> tuple[web.ServerRunner, str]:
-    server = web.Server(
-        handler,
-        handler_cancellation=True,
-        access_log=None,
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
-    )
-    runner = web.ServerRunner(server)
+    runner = web.ServerRunner(create_server(handler))
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     host, port = runner.addresses[0][:2]
@@ -231,13 +225,18 @@
     return web.Response()
 
 
-def streaming_handler(*events: bytes, complete: bool = True) -> RequestCallback:
+def streaming_handler(
+    *events: bytes, complete: bool = True, pause_s: float = 0.0, **headers: str
+) -> RequestCallback:
+    sent = {name.replace("_", "-"): value for name, value in headers.items()}
+
     async def respond(request: web.BaseRequest) -> web.StreamResponse:
-        response = web.StreamResponse(headers=SIGNED)
+        response = web.StreamResponse(headers={**SIGNED, **sent})
         response.enable_chunked_encoding()
         await response.prepare(request)
         for event in events:
             await response.write(event)
+            await asyncio.sleep(pause_s)
         if complete:
             await response.write_eof()
         else:
@@ -271,6 +270,24 @@
         )
 
 
+async def test_a_compressed_body_is_forwarded_unchanged() -> None:
+    """Guards against upstreams that get another body than the caller sent."""
+    body = gzip.compress(b"hello hello hello")
+    async with run_gateway(respond_ok) as gateway:
+        status, response, _ = await gateway.send(
+            "/once/x", body=body, Content_Encoding="gzip"
+        )
+        assert (status, response) == (200, b"done " + body)
+        assert gateway.received[0].headers["Content-Encoding"] == "gzip"
+
+
+async def test_a_caller_that_waits_to_send_its_body_is_told_to_continue() -> None:
+    """Guards against a body that is never sent."""
+    async with run_gateway(respond_ok) as gateway, asyncio.timeout(0.5):
+        status, body, _ = await gateway.send("/once/x", Expect="100-continue")
+        assert (status, body) == (200, b"done body")
+
+
 async def test_unknown_keys_and_routes_are_refused() -> None:
     """Guards against running a request that the configuration does not permit."""
     async with run_gateway(respond_ok) as gateway:
@@ -415,6 +432,33 @@
         await asyncio.wait_for(cancelled.wait(), 0.5)
 
 
+async def test_a_caller_that_ends_its_sending_half_gets_no_response() -> None:
+    """Guards against a change of what counts as a caller that has left."""
+    cancelled = asyncio.Event()
+
+    async def respond_slowly(request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            await asyncio.sleep(0.3)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+        return web.Response(headers=SIGNED)
+
+    async with run_gateway(respond_slowly) as gateway:
+        host, _, port = gateway.url.removeprefix("http://").partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"GET /once/x HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Authorization: Token {KEY}\r\n\r\n".encode()
+        )
+        while not gateway.received:
+            await asyncio.sleep(0.01)
+        writer.write_eof()
+        assert await reader.read() == b""
+        await asyncio.wait_for(cancelled.wait(), 0.1)
+        writer.close()
+
+
 async def test_an_unresponsive_upstream_times_out_at_the_deadline() -> None:
     """Guards against responding after the caller's deadline."""
 
