--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -250,46 +250,44 @@
             await gateway.stop()
 
 
-async def test_a_request_that_ends_as_a_stop_waits_is_not_logged_as_cut(
-    rows: VersionedRows, table: MemoryVersionedTable
-) -> None:
-    """Guards against a log that names answered requests as lost."""
-    with logbook.TestHandler() as records:
+async def _stop_under_a_call(
+    rows: VersionedRows, table: MemoryVersionedTable, grace_s: float, work_s: float
+) -> tuple[list[logbook.LogRecord], asyncio.Task[tuple[int, bytes]]]:
+    """Returns the log lines of a stop that began during a call, and the call."""
+    with logbook.TestHandler() as handler:
         async with (
-            running_gateway(rows, table, grace_s=2.0) as gateway,
+            running_gateway(rows, table, grace_s=grace_s) as gateway,
             aiohttp.ClientSession() as session,
         ):
-            call = _file_report(session, _url(gateway), work_s=1.54)
-            running = asyncio.create_task(call)
+            call = asyncio.create_task(_file_report(session, _url(gateway), work_s))
             while not gateway.request_handler.active_requests:
                 await asyncio.sleep(0.01)
             await _stop(gateway)
-            assert await running == (200, b"filed")
-    assert not any("cut" in record.message for record in records.records)
+            await asyncio.wait([call])
+    return handler.records, call
+
+
+async def test_a_request_that_ends_as_a_stop_waits_is_not_logged_as_cut(
+    rows: VersionedRows, table: MemoryVersionedTable
+) -> None:
+    """Guards against a log that names answered requests as lost."""
+    records, call = await _stop_under_a_call(rows, table, grace_s=2.0, work_s=1.54)
+    assert call.result() == (200, b"filed")
+    assert not any("cut" in record.message for record in records)
 
 
 async def test_a_request_that_a_stop_cuts_is_logged(
     rows: VersionedRows, table: MemoryVersionedTable
 ) -> None:
     """Guards against a lost request that left no line with its id, age and progress."""
-    with logbook.TestHandler() as records:
-        async with (
-            running_gateway(rows, table, grace_s=1.6) as gateway,
-            aiohttp.ClientSession() as session,
-        ):
-            call = _file_report(session, _url(gateway), work_s=2.9)
-            running = asyncio.create_task(call)
-            while not gateway.request_handler.active_requests:
-                await asyncio.sleep(0.01)
-            await _stop(gateway)
-            with pytest.raises(aiohttp.ServerDisconnectedError):
-                await running
-    cut = [record for record in records.records if "cut" in record.message]
+    records, call = await _stop_under_a_call(rows, table, grace_s=1.6, work_s=2.9)
+    assert isinstance(call.exception(), aiohttp.ServerDisconnectedError)
+    cut = [record for record in records if "cut" in record.message]
     assert [record.extra["fields"]["request"] for record in cut] == ["r1"]
     fields = cut[0].extra["fields"]
     assert (fields["phase"], fields["tried"]) == ("upstream", "i-1")
     assert fields["after_ms"] > 500 and fields["left_ms"] > 500
-    assert not any("disconnected" in record.message for record in records.records)
+    assert not any("disconnected" in record.message for record in records)
 
 
 def _head(
