--- a/packages/standins/src/damasksaddle_standins/faults/fleet.py
+++ b/packages/standins/src/damasksaddle_standins/faults/fleet.py
@@ -20,7 +20,7 @@
     InvariantChecker,
 )
 from damasksaddle_standins.faults.proxy import Proxy
-from damasksaddle_standins.processes import Process
+from damasksaddle_standins.processes import Process, source_path
 from damasksaddle_standins.rows_server import RowsServer
 from damasksaddle_standins.versioned_table import VersionedRows
 
@@ -82,11 +82,7 @@
     def _environment(self) -> dict[str, str]:
         environment = dict(os.environ)
         if self.source_tree is not None:
-            sources = [
-                *self.source_tree.glob("packages/*/src"),
-                self.source_tree / "platform" / "src",
-            ]
-            environment["PYTHONPATH"] = os.pathsep.join(map(str, sources))
+            environment["PYTHONPATH"] = source_path(self.source_tree)
         return environment
 
     async def wait_takes_hangup(self) -> None:
--- a/packages/standins/src/damasksaddle_standins/processes.py
+++ b/packages/standins/src/damasksaddle_standins/processes.py
@@ -14,6 +14,12 @@
 MAX_SHOWN_CHARS = 20_000
 
 
+def source_path(tree: Path) -> str:
+    """Returns the value of PYTHONPATH with which a process runs a working tree."""
+    sources = [*tree.glob("packages/*/src"), tree / "platform" / "src"]
+    return os.pathsep.join(map(str, sources))
+
+
 @dataclass(slots=True)
 class Process:
     """A child process and the words of its `ready` line after the first."""
--- a/tools/mixed_builds.py
+++ b/tools/mixed_builds.py
@@ -31,7 +31,7 @@
 from damasksaddle_standins.demo import run_demo
 from damasksaddle_standins.faults import run_fault_injection
 from damasksaddle_standins.process_fleet import ProcessFleet, upstream_entries
-from damasksaddle_standins.processes import Processes
+from damasksaddle_standins.processes import Processes, source_path
 from damasksaddle_standins.sample_service import CHAT, chat_body, document
 
 NODE_MODULE = "damasksaddle_node"
@@ -60,8 +60,7 @@
     def __init__(
         self, tree: Path, python: Path, is_old: Callable[[str, int], bool]
     ) -> None:
-        sources = [*tree.glob("packages/*/src"), tree / "platform" / "src"]
-        self._old_path = os.pathsep.join(map(str, sources))
+        self._old_path = source_path(tree)
         self._python = python
         self._is_old = is_old
         self._starts: Counter[str] = Counter()
