--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -6,12 +6,13 @@
 import itertools
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -35,6 +36,7 @@
 READ_S = 0.004
 TRANSACTION_S = 0.005
 READY_TIMEOUT_S = 40.0
+READ_PIECE_BYTES = 64 * 1024
 
 
 def has_trouble() -> bool:
@@ -74,6 +76,8 @@
         self._epoch_s = time.monotonic() - 1000
         # While it is set, the connections of all machines are reset.
         self.is_down = False
+        # Calls that arrive while it is set are never answered.
+        self.is_silent = False
         # The machine that last wrote under a condition.
         self.last_writer = ""
 
@@ -101,6 +105,8 @@
     async def _reset_if_down(
         self, request: web.Request, handler: Any
     ) -> web.StreamResponse:
+        if self.is_silent:
+            await asyncio.Event().wait()
         if not self.is_down:
             response = await handler(request)
         if self.is_down and request.transport is not None:
@@ -214,7 +220,7 @@
     request_id: str
     upstream: str
     at_s: float
-    headers: dict[str, str]
+    headers: Mapping[str, str]
     body: bytes
 
 
@@ -234,6 +240,8 @@
     zone: str = "zone-a"
     version: str = "v1"
     port: int = 0
+    # How fast it reads the body of a request; 0 is at once.
+    read_bytes_per_s: int = 0
     state: str = "ready"
     _sequence: int = 0
     _born_ms: int = 0
@@ -243,7 +251,12 @@
 
     async def start(self) -> None:
         """Listens at its address and registers; again after a crash."""
-        server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        server = web.Server(
+            self._handle,
+            access_log=None,
+            handler_cancellation=True,
+            read_bufsize=READ_PIECE_BYTES,
+        )
         self._server = web.ServerRunner(server, shutdown_timeout=0.05)
         await self._server.setup()
         site = web.TCPSite(self._server, "127.0.0.1", self.port, reuse_address=True)
@@ -291,14 +304,22 @@
             request_id = request.headers.get("X-Request-Id", "")
             if request.headers.get("X-Expect-Instance", self.id) != self.id:
                 return self.rejection(request_id, 421)
-            body = await request.content.read()
-            headers = dict(request.headers)
-            run = Run(request_id, self.id, time.monotonic(), headers, body)
+            body = await self._read(request)
+            run = Run(request_id, self.id, time.monotonic(), request.headers, body)
             self.runs.append(run)
             return await self.behavior(self, request, run)
         finally:
             self._connections.discard(request.transport)
 
+    async def _read(self, request: web.BaseRequest) -> bytes:
+        if not self.read_bytes_per_s:
+            return await request.content.read()
+        pieces = []
+        while piece := await request.content.read(READ_PIECE_BYTES):
+            pieces.append(piece)
+            await asyncio.sleep(len(piece) / self.read_bytes_per_s)
+        return b"".join(pieces)
+
     @staticmethod
     def rejection(request_id: str, status: int = 503) -> web.Response:
         """Returns the answer to a request that was not run."""
@@ -425,14 +446,10 @@
         self.session: aiohttp.ClientSession | None = None
         self._bounds = bounds or {}
         self._ids = itertools.count(1)
-        self._directory = tempfile.TemporaryDirectory(prefix="review-")
+        self.directory = Path(tempfile.mkdtemp(prefix="review-"))
         self._reservation: socket.socket | None = None
         self._network = ""
 
-    @property
-    def directory(self) -> Path:
-        return Path(self._directory.name)
-
     async def __aenter__(self) -> "Fleet":
         # Each request uses a connection of its own.
         self.session = aiohttp.ClientSession(
@@ -452,7 +469,7 @@
         if self._reservation is not None:
             self._reservation.close()
         if "KEEP_LOGS" not in os.environ:
-            self._directory.cleanup()
+            shutil.rmtree(self.directory)
 
     def _reserve_network(self) -> None:
         for number in itertools.count(os.getpid()):
@@ -568,7 +585,8 @@
     def new_id(self) -> str:
         return f"{next(self._ids):04d}{os.urandom(6).hex()}"
 
-    async def send(
+    @contextlib.asynccontextmanager
+    async def open(
         self,
         gateway: Gateway,
         path: str,
@@ -577,8 +595,8 @@
         deadline_ms: int = 4000,
         method: str = "POST",
         headers: dict[str, str] | None = None,
-    ) -> Answer:
-        """Sends one client attempt and returns what came back."""
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Sends one client attempt and yields the head of the answer."""
         assert self.session is not None
         fields = {
             "Host": HOST_NAME,
@@ -589,10 +607,26 @@
         }
         url = f"http://{gateway.host}:{FRONTEND_PORT}{path}"
         timeout = aiohttp.ClientTimeout(total=deadline_ms / 1000 + 1, sock_connect=1)
+        async with self.session.request(
+            method, url, data=body, headers=fields, timeout=timeout
+        ) as response:
+            yield response
+
+    async def send(
+        self,
+        gateway: Gateway,
+        path: str,
+        request_id: str,
+        body: bytes = b"",
+        deadline_ms: int = 4000,
+        method: str = "POST",
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Sends one client attempt and returns what came back."""
         answer = Answer(0)
         try:
-            async with self.session.request(
-                method, url, data=body, headers=fields, timeout=timeout
+            async with self.open(
+                gateway, path, request_id, body, deadline_ms, method, headers
             ) as response:
                 answer.status = response.status
                 answer.headers = dict(response.headers)
@@ -618,5 +652,5 @@
 
 
 async def _run(case: Callable[[Record], Awaitable[int]], record: Record) -> int:
-    async with asyncio.timeout(115):
+    async with asyncio.timeout(118):
         return await case(record)
