--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -78,6 +78,8 @@
         self.is_down = False
         # Calls that arrive while it is set are never answered.
         self.is_silent = False
+        # How many times as long each answer takes.
+        self.slowdown = 1.0
         # The machine that last wrote under a condition.
         self.last_writer = ""
 
@@ -145,7 +147,7 @@
         return {**fields, **content, "Ver": version}
 
     async def _get(self, request: web.Request) -> web.Response:
-        await asyncio.sleep(READ_S)
+        await asyncio.sleep(READ_S * self.slowdown)
         query = request.query
         start, end = query.get("From", ""), query.get("To")
         limit = min(500, int(query.get("Limit", 500)))
@@ -161,7 +163,7 @@
         return web.json_response({"Rows": rows, "MorePages": more, **self._tail()})
 
     async def _parts(self, request: web.Request) -> web.Response:
-        await asyncio.sleep(READ_S)
+        await asyncio.sleep(READ_S * self.slowdown)
         parts = sorted(
             {row[1] for row in self.rows if row[0] == request.query["Table"]}
         )
@@ -171,7 +173,7 @@
         table, after = request.query["Table"], int(request.query["after"])
         deadline_s = time.monotonic() + int(request.query["WaitMs"]) / 1000
         while True:
-            await asyncio.sleep(READ_S)
+            await asyncio.sleep(READ_S * self.slowdown)
             rows = [
                 self._fields(row, value, version)
                 for version, row, value in self._changes
@@ -189,7 +191,7 @@
         entries = [*body["SetKeys"], *body["Remove"]]
         part = entries[0].get("part", "") if entries else ""
         async with self._part_locks.setdefault(part, asyncio.Lock()):
-            await asyncio.sleep(TRANSACTION_S)
+            await asyncio.sleep(TRANSACTION_S * self.slowdown)
             current = []
             for entry in body["ExpectedRev"]:
                 row = entry["Table"], entry.get("part", ""), entry["Key"]
