--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,16 +1,16 @@
 """
-One client within all limits has every machine exceed its memory, one after the other.
+A tenant gets its burst twice if the machine that serves it in an outage is killed.
 
-The client runs programs on a route that keeps histories, one turn at a time, and each
-turn has a new input just below the limit of a body. The platform ends a process that
-uses more memory than its machine has, and starts it again. Other programs run beside
-it, with inputs of the usual size. Counted is how often each process is ended.
+The tenant's requests come in waves: few for some seconds, then more than its limit. In
+the second wave the store is down for some seconds, and the machine that last wrote to
+it under a condition is killed shortly before it is back. In all windows of 5 s, the
+requests that were sent and arrived at a runner are counted.
 """
 
 import asyncio
-import itertools
-import os
+import random
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -26,152 +26,162 @@
     Fleet,
     Gateway,
     Record,
+    Run,
+    Upstream,
     has_trouble,
+    plain,
     run_case,
-    stream,
 )
 
-MACHINES, MEMORY_MB = 3, 160
-# The rule is broken if so many machines have so many ends.
-MACHINES_OVER, ENDS = 2, 3
-TURNS = 14
-# The limit `MaxBodyBytes` is 4,194,304.
-LARGE_INPUT_BYTES, USUAL_INPUT_BYTES = 4_000_000, 4_300
-USUAL_PROGRAMS = 6
-THINK_S = 0.2
-TRIES, RETRY_S = 3, 0.4
-PLAY_S = 90.0
-POLL_S, RESTART_S = 0.02, 1.0
-SETTLE_S = 4.0
-
-
-class Platform:
-    """Ends processes that use more memory than their machine has."""
-
-    def __init__(self, record: Record, gateways: list[Gateway]) -> None:
-        self._record = record
-        self._gateways = gateways
-        self.ends: Counter[str] = Counter()
-        self.peak_mb: dict[str, float] = {}
-
-    async def watch(self) -> None:
-        await asyncio.gather(*(self._watch(gateway) for gateway in self._gateways))
-
-    async def _watch(self, gateway: Gateway) -> None:
-        while True:
-            await asyncio.sleep(POLL_S)
-            used_mb = gateway.memory_mb()
-            peak_mb = max(used_mb, self.peak_mb.get(gateway.name, 0.0))
-            self.peak_mb[gateway.name] = round(peak_mb, 1)
-            if used_mb > MEMORY_MB:
-                self._record.line(f"{gateway.name} uses {used_mb:.0f} MB and is ended")
-                await gateway.kill()
-                self.ends[gateway.name] += 1
-                await asyncio.sleep(RESTART_S)
-                await gateway.start()
-
-
-class Client:
-    """Runs programs whose turns continue from each other, one turn at a time."""
-
-    def __init__(self, fleet: Fleet, record: Record, name: str, size: int) -> None:
+RATE_PER_S, BURST = 50, 150
+# The bounds QuotaWindowS, QuotaOverrun and QuotaSlack.
+WINDOW_S, OVERRUN, SLACK = 5.0, 0.1, 20
+LIMIT = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERRUN) + SLACK
+CALM_S, CALM_PER_S = 6.0, 5
+WAVE_S, WAVE_PER_S = 5.6, 400
+# The store is down for the last part of the calm and the first of the wave.
+DOWN_CALM_S, DOWN_WAVE_S = 3.0, 0.9
+# The machine is killed so long before the store is back.
+KILL_BEFORE_S = 0.3
+RESTART_S = 3.5
+SETTLE_S = 6.0
+CALL_MS = 2000
+
+
+class Callers:
+    """Sends the tenant's requests to machines that have not failed."""
+
+    def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self._record = record
-        self._name = name
-        self._input_bytes = size
-        self._attempts = itertools.count()
-        self.whole_turns = 0
-
-    async def run(self) -> None:
-        for number in itertools.count():
-            await self._run_program(f"{self._name}-{number}")
-
-    async def _run_program(self, program: str) -> None:
-        previous = ""
-        for _ in range(TURNS):
-            for _ in range(TRIES):
-                turn_id = await self._turn(program, previous)
-                if turn_id:
-                    previous = turn_id
-                    break
-                await asyncio.sleep(RETRY_S)
-            else:
-                return
-            await asyncio.sleep(THINK_S)
-
-    async def _turn(self, program: str, previous: str) -> str:
-        """Returns the id of the turn, or an empty text if it failed."""
-        gateway = self._fleet.gateways[next(self._attempts) % MACHINES]
+        self._random = random.Random(1)
+        self.failed: set[str] = set()
+        self.sent_s: dict[str, float] = {}
+        # By request.
+        self.statuses: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def _send(self, gateway: Gateway) -> None:
         request_id = self._fleet.new_id()
-        headers = {"X-Program-Id": program, "X-Session-Id": program}
-        if previous:
-            headers["X-Previous-Turn"] = previous
-        body = os.urandom(self._input_bytes)
+        self.sent_s[request_id] = time.monotonic()
         answer = await self._fleet.send(
-            gateway, "/turns/1", request_id, body, headers=headers
+            gateway, "/calls/1", request_id, deadline_ms=CALL_MS, method="GET"
         )
-        self._record.line(
-            f"{program}: {request_id} with {len(body)} bytes sent to {gateway.name}, "
-            f"answered {answer.status}, whole {answer.complete}"
+        if not answer.status:
+            self.failed.add(gateway.name)
+        self.statuses[request_id] = answer.status
+
+    async def send_for(self, duration_s: float, per_s: float) -> None:
+        """Sends requests at a rate, without waiting for their answers."""
+        started_s, sent = time.monotonic(), 0
+        while (passed_s := time.monotonic() - started_s) < duration_s:
+            while sent < passed_s * per_s:
+                usable = [
+                    gateway
+                    for gateway in self._fleet.gateways
+                    if gateway.name not in self.failed
+                ]
+                task = asyncio.create_task(self._send(self._random.choice(usable)))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+                sent += 1
+            await asyncio.sleep(0.005)
+
+    async def finish(self) -> None:
+        """Waits for the answers to all requests."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+
+async def run_at_once(
+    upstream: Upstream, request: web.BaseRequest, run: Run
+) -> web.StreamResponse:
+    return await plain(upstream, request, run, work_s=0.005)
+
+
+async def disrupt(fleet: Fleet, record: Record) -> None:
+    """Has the store down for some seconds, and a machine killed meanwhile."""
+    await asyncio.sleep(CALM_S - DOWN_CALM_S)
+    record.line("the store is down")
+    fleet.store.is_down = True
+    await asyncio.sleep(DOWN_CALM_S + DOWN_WAVE_S - KILL_BEFORE_S)
+    killed = next(
+        gateway for gateway in fleet.gateways if gateway.name == fleet.store.last_writer
+    )
+    await killed.kill()
+    record.line(f"killed {killed.name}")
+    await asyncio.sleep(KILL_BEFORE_S)
+    fleet.store.is_down = False
+    record.line("the store is back")
+    await asyncio.sleep(RESTART_S)
+    await killed.start()
+
+
+def most_in_window(sent_s: dict[str, float], runs: list[Run]) -> tuple[int, float]:
+    """Returns the most requests that were sent and arrived in one window."""
+    spans = sorted(
+        (sent_s[run.request_id], run.at_s) for run in runs if run.request_id in sent_s
+    )
+    best, best_start_s = 0, 0.0
+    for start_s, _ in spans:
+        number = sum(
+            sent >= start_s and arrived <= start_s + WINDOW_S for sent, arrived in spans
         )
-        if answer.status != web.HTTPOk.status_code or not answer.complete:
-            return ""
-        self.whole_turns += 1
-        return request_id
+        if number > best:
+            best, best_start_s = number, start_s
+    return best, best_start_s
 
 
 async def case(record: Record) -> int:
     async with Fleet(record) as fleet:
-        for _ in range(MACHINES):
-            await fleet.add_gateway(memory_mb=MEMORY_MB)
+        for _ in range(3):
+            await fleet.add_gateway()
         for number in range(4):
-            await fleet.add_upstream(f"i-{number}", "models", stream)
+            await fleet.add_upstream(f"i-{number}", "app", run_at_once, slots=32)
         route = {
-            "Name": "turns",
-            "Prefix": "/turns/",
-            "Type": "streaming",
-            "TimeoutMs": 4000,
-            "TargetLatencyMs": 500,
+            "Name": "calls",
+            "Prefix": "/calls/",
+            "Type": "idempotent",
+            "TimeoutMs": CALL_MS,
+            "TargetLatencyMs": 300,
             "Priority": 0,
-            "Service": "models",
-            "MaxAttempts": 2,
-            "KeepsHistory": True,
-            "RetentionS": 60.0,
+            "Service": "app",
+            "MaxAttempts": 1,
             "Public": False,
-            "Sticky": True,
-            "Resumable": False,
-            "TargetGapMs": 200,
         }
-        engine = {"Slots": 6, "KvCapacity": 85100, "ChunkTokens": 22}
-        fleet.configure([route], [{"Name": "models", "Engine": engine}])
+        service = {"Name": "app", "MaxConns": 400}
+        fleet.configure([route], [service], RatePerS=RATE_PER_S, Burst=BURST)
         await fleet.start()
         await asyncio.sleep(SETTLE_S)
-        platform = Platform(record, fleet.gateways)
-        clients = [
-            Client(fleet, record, f"usual{number}", USUAL_INPUT_BYTES)
-            for number in range(USUAL_PROGRAMS)
-        ]
-        large = Client(fleet, record, "large", LARGE_INPUT_BYTES)
-        if has_trouble():
-            clients.append(large)
-        tasks = [asyncio.create_task(platform.watch())]
-        tasks += [asyncio.create_task(client.run()) for client in clients]
-        await asyncio.wait(tasks, timeout=PLAY_S, return_when="FIRST_EXCEPTION")
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        for run in fleet.runs:
+        callers = Callers(fleet)
+        started_s = time.monotonic()
+        trouble = None
+        for wave in (1, 2):
+            record.line(f"wave {wave}")
+            if wave == 2 and has_trouble():
+                trouble = asyncio.create_task(disrupt(fleet, record))
+            await callers.send_for(CALM_S, CALM_PER_S)
+            await callers.send_for(WAVE_S, WAVE_PER_S)
+        await callers.finish()
+        if trouble is not None:
+            await trouble
+        runs = {run.request_id: run for run in fleet.runs}
+        for request_id, sent_s in callers.sent_s.items():
+            run = runs.get(request_id)
+            ran = f"{run.at_s - started_s:.3f} at {run.upstream}" if run else "never"
             record.line(
-                f"{run.request_id} run at {run.upstream}: {len(run.body)} bytes"
+                f"{request_id} sent {sent_s - started_s:.3f} "
+                f"answered {callers.statuses[request_id]} run {ran}"
             )
-        usual_turns = sum(client.whole_turns for client in clients)
-        usual_turns -= large.whole_turns
-        record.line(f"whole turns: {usual_turns} usual, {large.whole_turns} large")
-        record.line(f"ends: {dict(platform.ends)}; peak MB: {platform.peak_mb}")
-        if not usual_turns:
+        statuses = Counter(callers.statuses.values())
+        most, start_s = most_in_window(callers.sent_s, fleet.runs)
+        record.line(f"answers by status: {dict(statuses)}")
+        record.line(
+            f"most in {WINDOW_S:g} s: {most} from {start_s - started_s:.2f} s on; "
+            f"allowed: {LIMIT:g}"
+        )
+        if statuses[web.HTTPOk.status_code] < RATE_PER_S * WINDOW_S:
             return NOT_RUN
-        over = [name for name, ends in platform.ends.items() if ends >= ENDS]
-        return BROKEN if len(over) >= MACHINES_OVER else HELD
+        return BROKEN if most > LIMIT else HELD
 
 
 if __name__ == "__main__":
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import json
+import logging
 import os
 import shutil
 import signal
@@ -36,6 +37,8 @@
 READ_S = 0.004
 TRANSACTION_S = 0.005
 READY_TIMEOUT_S = 40.0
+# A case runs for 120 s at most.
+TIME_LIMIT_S = 116.0
 READ_PIECE_BYTES = 64 * 1024
 
 
@@ -642,10 +645,12 @@
 
 def run_case(case: Callable[[Record], Awaitable[int]], directory: Path) -> None:
     """Runs a case and exits with its result; 2 if it could not run."""
+    # Connections that are reset on purpose would fill the output.
+    logging.getLogger("aiohttp.server").disabled = True
     record = Record(directory / "record.txt")
     try:
         result = asyncio.run(_run(case, record))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.line(f"the case could not run: {error!r}")
         result = NOT_RUN
     record.line(f"result: {result}")
@@ -654,5 +659,9 @@
 
 
 async def _run(case: Callable[[Record], Awaitable[int]], record: Record) -> int:
-    async with asyncio.timeout(118):
+    task = asyncio.current_task()
+    assert task is not None
+    # Whoever ends the script has its processes ended too.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(TIME_LIMIT_S):
         return await case(record)
