--- a/review/12/case.py
+++ b/review/12/case.py
@@ -23,10 +23,10 @@
 
 SERVICE = "filing-app"
 RUNNERS = 7
-# How long a runner is down, and the time between two requests that bring it down.
+# One runner at a time is down: `srv_crash` takes a share of .15, and one in seven is.
 DOWN_S = 3.0
-INTERVAL_S = 2.5
-REQUESTS = 24
+INTERVAL_S = 3.7
+REQUESTS = 16
 # BUDGET: no more than three retries, later than `ContactMs` after the third crash.
 CRASHES = 3
 PERMITTED = 3
@@ -36,6 +36,7 @@
 async def play(deployment: Deployment) -> int:
     record = deployment.record
     runs_s: list[float] = []
+    crashes_s: list[float] = []
     restarts: set[asyncio.Task[None]] = set()
     numbers = itertools.count(1)
 
@@ -57,6 +58,7 @@
             runs_s.append(record.now_s())
             if has_trouble():
                 runner.lose_power()
+                crashes_s.append(record.now_s())
                 restarts.add(asyncio.create_task(restart(runner)))
                 await asyncio.Event().wait()
         await asyncio.sleep(0.04)
@@ -93,8 +95,8 @@
         await asyncio.sleep(INTERVAL_S)
     await asyncio.gather(*requests)
     late = 0
-    if has_trouble() and len(runs_s) >= CRASHES:
-        from_s = runs_s[CRASHES - 1] + BOUNDS["ContactMs"] / 1000
+    if len(crashes_s) >= CRASHES:
+        from_s = crashes_s[CRASHES - 1] + BOUNDS["ContactMs"] / 1000
         late = sum(run_s > from_s for run_s in runs_s)
     print(f"the request ran {len(runs_s)} times, {late} of them too late")
     return BROKEN if late > PERMITTED else HELD
